--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control daemon: replicated log, configuration, database registry, promotions, views and leases. */
+package org.hornbeamspread.control;
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcClient.java
@@ -0,0 +1,89 @@
+package org.hornbeamspread.http;
+
+import com.google.protobuf.Message;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Failure;
+import org.hornbeamspread.transport.Envelopes;
+
+/** Calls the schema's methods over HTTP, in protobuf's binary form. Safe for any thread. */
+public final class RpcClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .build();
+
+    /**
+     * Calls a method. An answer of the method's own type is returned also when it carries a failure; a bare Failure
+     * body fails the future with its type. Fails with CONNECTION_REFUSED, REQUEST_TIMEOUT or CONNECTION_LOST otherwise.
+     */
+    public <A extends Message> CompletableFuture<A> call(
+            Endpoint server, String method, Message request, A answer, Duration timeout) {
+        HttpRequest http = HttpRequest.newBuilder(
+                        URI.create("http://" + server.getHost() + ":" + server.getPort() + "/" + method))
+                .timeout(timeout)
+                .header("Content-Type", RpcCodec.PROTOBUF.contentType())
+                .POST(HttpRequest.BodyPublishers.ofByteArray(RpcCodec.PROTOBUF.encode(request)))
+                .build();
+        return client.sendAsync(http, HttpResponse.BodyHandlers.ofByteArray()).handle((response, error) -> {
+            if (error != null) {
+                throw transportFailure(error);
+            }
+            return decode(response, answer);
+        });
+    }
+
+    private static <A extends Message> A decode(HttpResponse<byte[]> response, A answer) {
+        if (response.statusCode() != 200) {
+            FailureException failure = bareFailure(response.body());
+            if (failure != null) {
+                throw failure;
+            }
+        }
+        return RpcCodec.PROTOBUF.decode(answer, response.body());
+    }
+
+    /** The typed failure when the body is a Failure message, else null: the body is then the method's own answer. */
+    private static FailureException bareFailure(byte[] body) {
+        try {
+            Failure failure = RpcCodec.PROTOBUF.decode(Failure.getDefaultInstance(), body);
+            return failure.getUnknownFields().asMap().isEmpty() && isFailureName(failure.getType())
+                    ? Envelopes.exception(failure)
+                    : null;
+        } catch (FailureException e) {
+            return null;
+        }
+    }
+
+    private static boolean isFailureName(String name) {
+        for (FailureType type : FailureType.values()) {
+            if (type.name().equals(name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static FailureException transportFailure(Throwable error) {
+        Throwable cause = error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+        if (cause instanceof ConnectException) {
+            return new FailureException(FailureType.CONNECTION_REFUSED, String.valueOf(cause.getMessage()));
+        }
+        if (cause instanceof HttpTimeoutException) {
+            return new FailureException(FailureType.REQUEST_TIMEOUT, String.valueOf(cause.getMessage()));
+        }
+        return new FailureException(FailureType.CONNECTION_LOST, String.valueOf(cause));
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcCodec.java
@@ -0,0 +1,75 @@
+package org.hornbeamspread.http;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.util.JsonFormat;
+import java.nio.charset.StandardCharsets;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+
+/** The two encodings of a call's body. */
+public enum RpcCodec {
+    /** Protobuf's binary form. */
+    PROTOBUF("application/x-protobuf") {
+        @Override
+        public byte[] encode(Message message) {
+            return message.toByteArray();
+        }
+
+        @Override
+        Message.Builder merge(Message.Builder builder, byte[] body) throws InvalidProtocolBufferException {
+            return builder.mergeFrom(body);
+        }
+    },
+    /** Protobuf's JSON mapping; unknown fields are refused. */
+    JSON("application/json") {
+        @Override
+        public byte[] encode(Message message) {
+            try {
+                return JsonFormat.printer()
+                        .alwaysPrintFieldsWithNoPresence()
+                        .print(message)
+                        .getBytes(StandardCharsets.UTF_8);
+            } catch (InvalidProtocolBufferException e) {
+                throw FailureException.of(e);
+            }
+        }
+
+        @Override
+        Message.Builder merge(Message.Builder builder, byte[] body) throws InvalidProtocolBufferException {
+            JsonFormat.parser().merge(new String(body, StandardCharsets.UTF_8), builder);
+            return builder;
+        }
+    };
+
+    private final String contentType;
+
+    RpcCodec(String contentType) {
+        this.contentType = contentType;
+    }
+
+    /** The value of the Content-Type header. */
+    public String contentType() {
+        return contentType;
+    }
+
+    /** The codec of a Content-Type header; JSON when it names neither. */
+    public static RpcCodec of(String contentType) {
+        return contentType != null && contentType.startsWith(PROTOBUF.contentType) ? PROTOBUF : JSON;
+    }
+
+    /** A message's bytes. */
+    public abstract byte[] encode(Message message);
+
+    /** Parses a message. Fails with INVALID_REQUEST. */
+    @SuppressWarnings("unchecked")
+    public <M extends Message> M decode(M prototype, byte[] body) {
+        try {
+            return (M) merge(prototype.newBuilderForType(), body).build();
+        } catch (InvalidProtocolBufferException e) {
+            throw new FailureException(FailureType.INVALID_REQUEST, String.valueOf(e.getMessage()));
+        }
+    }
+
+    abstract Message.Builder merge(Message.Builder builder, byte[] body) throws InvalidProtocolBufferException;
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/MonotonicClock.java
@@ -0,0 +1,27 @@
+package org.hornbeamspread.runtime;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+
+/** Wall time sampled once and advanced by the monotonic timer, so that leases survive a stepped wall clock. */
+public final class MonotonicClock extends Clock {
+    private final Instant start = Instant.now();
+    private final long startNs = System.nanoTime();
+
+    @Override
+    public Instant instant() {
+        return start.plusNanos(System.nanoTime() - startNs);
+    }
+
+    @Override
+    public ZoneId getZone() {
+        return ZoneOffset.UTC;
+    }
+
+    @Override
+    public Clock withZone(ZoneId zone) {
+        return this;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/transport/AddressTranslator.java
@@ -0,0 +1,40 @@
+package org.hornbeamspread.transport;
+
+import java.util.Map;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+
+/** Maps announced addresses to the ones this process reaches them by, as behind address translation or a test link. */
+public interface AddressTranslator {
+    /** The address to connect to. */
+    Endpoint translate(Endpoint announced);
+
+    /** Leaves every address as it is. */
+    static AddressTranslator identity() {
+        return announced -> announced;
+    }
+
+    /** Replaces the addresses in a table and leaves the others. */
+    static AddressTranslator table(Map<Endpoint, Endpoint> table) {
+        Map<Endpoint, Endpoint> copy = Map.copyOf(table);
+        return announced -> copy.getOrDefault(announced, announced);
+    }
+
+    /** Reads a host and port. Fails with INVALID_SETTING. */
+    static Endpoint parse(String hostAndPort) {
+        int colon = hostAndPort.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(hostAndPort.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= 65_535) {
+                return Endpoint.newBuilder()
+                        .setHost(hostAndPort.substring(0, colon))
+                        .setPort(port)
+                        .build();
+            }
+        } catch (NumberFormatException e) {
+            throw new FailureException(FailureType.INVALID_SETTING, "not host:port: " + hostAndPort);
+        }
+        throw new FailureException(FailureType.INVALID_SETTING, "not host:port: " + hostAndPort);
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
@@ -0,0 +1,207 @@
+package org.hornbeamspread.transport;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Envelope;
+
+/**
+ * One TCP connection that carries requests, answers and pushes both ways. Answers are matched by request id; one that
+ * comes after its timeout is dropped. Safe for any thread.
+ */
+public final class PeerConnection {
+    private final Channel channel;
+    private final PeerHandler handler;
+    private final AtomicLong nextRequestId = new AtomicLong(1);
+    private final Map<Long, CompletableFuture<Envelope>> waiting = new ConcurrentHashMap<>();
+    private final AtomicBoolean closed = new AtomicBoolean();
+
+    /** Anything that the owner keeps with the connection; null until it is set. */
+    private volatile Object attachment;
+
+    PeerConnection(Channel channel, PeerHandler handler) {
+        this.channel = channel;
+        this.handler = handler;
+    }
+
+    /**
+     * Sends a request. Fails with CONNECTION_REFUSED when the connection was closed before anything was sent, with
+     * CONNECTION_LOST when it broke later, REQUEST_TIMEOUT, or the typed failure that the other side answered.
+     */
+    public CompletableFuture<Envelope> request(Envelope request, Duration timeout) {
+        if (!isOpen()) {
+            return CompletableFuture.failedFuture(
+                    new FailureException(FailureType.CONNECTION_REFUSED, "closed before sending"));
+        }
+        long id = nextRequestId.getAndIncrement();
+        CompletableFuture<Envelope> answer = new CompletableFuture<>();
+        waiting.put(id, answer);
+        ScheduledFuture<?> timer = channel.eventLoop()
+                .schedule(
+                        () -> fail(
+                                id,
+                                FailureType.REQUEST_TIMEOUT,
+                                request.getBodyCase().name()),
+                        timeout.toNanos(),
+                        TimeUnit.NANOSECONDS);
+        channel.writeAndFlush(request.toBuilder()
+                        .setProtocolVersion(Envelopes.PROTOCOL_VERSION)
+                        .setRequestId(id)
+                        .build())
+                .addListener(sent -> {
+                    if (!sent.isSuccess()) {
+                        fail(id, FailureType.CONNECTION_LOST, String.valueOf(sent.cause()));
+                    }
+                });
+        if (closed.get()) {
+            fail(id, FailureType.CONNECTION_LOST, "closed while sending");
+        }
+        return answer.whenComplete((envelope, error) -> timer.cancel(false));
+    }
+
+    /** Sends a message that has no answer. Dropped when the connection is closed. */
+    public void push(Envelope push) {
+        channel.writeAndFlush(
+                push.toBuilder().setProtocolVersion(Envelopes.PROTOCOL_VERSION).build());
+    }
+
+    /** Whether frames can be sent. */
+    public boolean isOpen() {
+        return channel.isActive() && !closed.get();
+    }
+
+    /** Closes the connection; waiting requests fail with CONNECTION_LOST. */
+    public void close() {
+        channel.close();
+    }
+
+    /** What {@link #attach} set, or null. */
+    public Object attachment() {
+        return attachment;
+    }
+
+    /** Keeps an object of the owner's with the connection. */
+    public void attach(Object value) {
+        attachment = value;
+    }
+
+    /** The other end's address, for logs. */
+    public String remote() {
+        return String.valueOf(channel.remoteAddress());
+    }
+
+    private void fail(long id, FailureType type, String detail) {
+        CompletableFuture<Envelope> answer = waiting.remove(id);
+        if (answer != null) {
+            answer.completeExceptionally(new FailureException(type, detail));
+        }
+    }
+
+    private void onFrame(Envelope frame) {
+        if (frame.getProtocolVersion() != Envelopes.PROTOCOL_VERSION) {
+            onUnsupportedVersion(frame);
+        } else if (frame.getAnswer()) {
+            onAnswer(frame);
+        } else if (frame.getRequestId() == 0) {
+            handler.onPush(this, frame);
+        } else {
+            onRequest(frame);
+        }
+    }
+
+    private void onAnswer(Envelope frame) {
+        CompletableFuture<Envelope> answer = waiting.remove(frame.getRequestId());
+        if (answer == null) {
+            return;
+        }
+        if (frame.hasFailure()) {
+            answer.completeExceptionally(Envelopes.exception(frame.getFailure()));
+        } else {
+            answer.complete(frame);
+        }
+    }
+
+    private void onRequest(Envelope frame) {
+        long id = frame.getRequestId();
+        try {
+            handler.onRequest(this, frame, answer -> answer(id, answer));
+        } catch (RuntimeException e) {
+            answer(id, Envelopes.failureEnvelope(FailureException.of(e)));
+        }
+    }
+
+    private void onUnsupportedVersion(Envelope frame) {
+        if (!frame.getAnswer() && frame.getRequestId() != 0) {
+            answer(
+                    frame.getRequestId(),
+                    Envelopes.failureEnvelope(new FailureException(
+                            FailureType.UNSUPPORTED_VERSION, String.valueOf(frame.getProtocolVersion()))));
+        }
+    }
+
+    private void answer(long id, Envelope answer) {
+        channel.writeAndFlush(answer.toBuilder()
+                .setProtocolVersion(Envelopes.PROTOCOL_VERSION)
+                .setRequestId(id)
+                .setAnswer(true)
+                .build());
+    }
+
+    private void onClosed() {
+        if (closed.compareAndSet(false, true)) {
+            for (Long id : waiting.keySet()) {
+                fail(id, FailureType.CONNECTION_LOST, "connection closed");
+            }
+            handler.onClose(this);
+        }
+    }
+
+    /** Feeds Netty's events to the connection. */
+    static final class Inbound extends SimpleChannelInboundHandler<Envelope> {
+        private final PeerHandler handler;
+        private volatile PeerConnection connection;
+
+        Inbound(PeerHandler handler) {
+            this.handler = handler;
+        }
+
+        PeerConnection connection() {
+            return connection;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            connection = new PeerConnection(context.channel(), handler);
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            handler.onOpen(connection);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, Envelope frame) {
+            connection.onFrame(frame);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connection.onClosed();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerServer.java
@@ -0,0 +1,24 @@
+package org.hornbeamspread.transport;
+
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+
+/** A listening address. */
+public final class PeerServer implements AutoCloseable {
+    private final Channel channel;
+
+    PeerServer(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** The port that was bound. */
+    public int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /** Stops listening; open connections stay. */
+    @Override
+    public void close() {
+        channel.close();
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerTransport.java
@@ -0,0 +1,107 @@
+package org.hornbeamspread.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+
+/** Opens and accepts peer connections. Frames are length-prefixed protobuf envelopes. */
+public final class PeerTransport implements AutoCloseable {
+    /** The largest frame that is accepted; a longer one closes its connection. */
+    public static final int MAX_FRAME_BYTES = 16 << 20;
+
+    private static final int LENGTH_BYTES = 4;
+
+    private final EventLoopGroup group;
+    private final AddressTranslator translator;
+
+    /** A transport with its own network threads that connects to addresses as they are announced. */
+    public PeerTransport(int threads) {
+        this(threads, AddressTranslator.identity());
+    }
+
+    /** A transport that passes each address through a translator before it connects. */
+    public PeerTransport(int threads, AddressTranslator translator) {
+        this.group = new NioEventLoopGroup(threads, new DefaultThreadFactory("network", true));
+        this.translator = translator;
+    }
+
+    /** Listens; port 0 takes a free one. Fails with CONNECTION_REFUSED when the address can't be bound. */
+    public CompletableFuture<PeerServer> listen(Endpoint endpoint, PeerHandler handler) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer(handler))
+                .bind(endpoint.getHost(), endpoint.getPort());
+        return future(bound).thenApply(PeerServer::new);
+    }
+
+    /** Connects. Fails with CONNECTION_REFUSED. */
+    public CompletableFuture<PeerConnection> connect(Endpoint endpoint, Duration timeout, PeerHandler handler) {
+        Endpoint target = translator.translate(endpoint);
+        ChannelFuture opened = new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
+                .handler(initializer(handler))
+                .connect(new InetSocketAddress(target.getHost(), target.getPort()));
+        return future(opened)
+                .thenApply(channel ->
+                        channel.pipeline().get(PeerConnection.Inbound.class).connection());
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+    }
+
+    private static ChannelInitializer<SocketChannel> initializer(PeerHandler handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                ChannelPipeline pipeline = channel.pipeline();
+                pipeline.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+                pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
+                pipeline.addLast(new LengthFieldPrepender(LENGTH_BYTES));
+                pipeline.addLast(new ProtobufEncoder());
+                pipeline.addLast(new PeerConnection.Inbound(handler));
+            }
+        };
+    }
+
+    private static CompletableFuture<Channel> future(ChannelFuture operation) {
+        CompletableFuture<Channel> result = new CompletableFuture<>();
+        operation.addListener(done -> {
+            if (done.isSuccess()) {
+                result.complete(operation.channel());
+            } else {
+                result.completeExceptionally(
+                        new FailureException(FailureType.CONNECTION_REFUSED, String.valueOf(done.cause())));
+            }
+        });
+        return result;
+    }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Framed protobuf over Netty between processes. */
+package org.hornbeamspread.transport;
