--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/admission/FifoScheduler.java
@@ -0,0 +1,74 @@
+package org.hornbeamspread.core.admission;
+
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+
+/** One bounded queue in order of arrival, whatever the rank: the baseline that the others are compared with. */
+public final class FifoScheduler implements SlotScheduler {
+    private final int slots;
+    private final int queueLimit;
+    private final Deque<SlotRequest> waiting = new ArrayDeque<>();
+    private int slotsInUse;
+
+    /** A scheduler of a number of slots whose queue holds at most {@code queueLimit} requests. */
+    public FifoScheduler(int slots, int queueLimit) {
+        this.slots = slots;
+        this.queueLimit = queueLimit;
+    }
+
+    @Override
+    public Optional<FailureException> offer(SlotRequest request) {
+        if (waiting.size() >= queueLimit) {
+            return Optional.of(new FailureException(FailureType.QUEUE_FULL, request.rank()));
+        }
+        waiting.add(request);
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<SlotRequest> poll(Instant now) {
+        if (slotsInUse >= slots || waiting.isEmpty()) {
+            return Optional.empty();
+        }
+        slotsInUse++;
+        return Optional.of(waiting.remove());
+    }
+
+    @Override
+    public void complete(SlotRequest request, Instant now) {
+        slotsInUse--;
+    }
+
+    @Override
+    public List<SlotRequest> expired(Instant now) {
+        List<SlotRequest> late = new ArrayList<>();
+        for (SlotRequest request : waiting) {
+            if (request.startBy().isBefore(now)) {
+                late.add(request);
+            }
+        }
+        waiting.removeAll(late);
+        return late;
+    }
+
+    @Override
+    public boolean cancel(SlotRequest request) {
+        return waiting.remove(request);
+    }
+
+    @Override
+    public int waitingRequests() {
+        return waiting.size();
+    }
+
+    @Override
+    public int slotsInUse() {
+        return slotsInUse;
+    }
+}
