emulator: stand-in database

Proxies and control need databases with terms, positions, asynchronous replication, slots and a connection limit. The state is a class without threads; one decision thread owns it, and statements take effect at the end of their time in the slot, where the term and the idempotency key are checked. So a repeated key runs once, also when both requests waited together. A replica counts a term as followed only once its log agrees with the primary's; entries behind that place are set aside.

--- /dev/null
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseLauncher.java
@@ -0,0 +1,77 @@
+package org.hornbeamspread.emulator;
+
+import java.nio.file.Path;
+import java.time.Clock;
+import java.util.Arrays;
+import java.util.List;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.LogEntry;
+import org.hornbeamspread.transport.AddressTranslator;
+import org.hornbeamspread.transport.PeerTransport;
+
+/** Starts a stand-in database from its flags. */
+final class DatabaseLauncher {
+    private static final int NETWORK_THREADS = 2;
+    private static final String DROP_ACKNOWLEDGED_ROW = "drop-acknowledged-row";
+
+    private DatabaseLauncher() {}
+
+    /** Checks the flags, opens the disk and listens. Fails with INVALID_SETTING, CONNECTION_REFUSED or DISK_FAILED. */
+    static DatabaseServer start(EmulatorOptions options, Clock clock) {
+        DatabaseSettings settings = settings(options);
+        AddressTranslator translator = options.addressMap.isEmpty()
+                ? AddressTranslator.identity()
+                : AddressMapFile.read(Path.of(options.addressMap));
+        DatabaseState state = state(options, clock);
+        return new DatabaseServer(settings, state, new PeerTransport(NETWORK_THREADS, translator));
+    }
+
+    private static DatabaseSettings settings(EmulatorOptions options) {
+        return new DatabaseSettings(
+                options.databaseId,
+                options.group,
+                AddressTranslator.parse(options.endpoint),
+                options.failureDomain,
+                options.region,
+                endpoints(options.announceTo),
+                options.slots,
+                options.connectionLimit,
+                options.connectTimeMs,
+                options.statementMs,
+                options.replicationLagMs);
+    }
+
+    private static DatabaseState state(EmulatorOptions options, Clock clock) {
+        if (options.dataDir.isEmpty()) {
+            DatabaseMetadata fresh = DatabaseMetadata.fresh(clock.millis(), !options.diskLost);
+            return new DatabaseState(DatabaseDisk.none(), fresh, List.of(), fault(options));
+        }
+        FileDatabaseDisk disk = new FileDatabaseDisk(Path.of(options.dataDir));
+        boolean lost =
+                options.diskLost || (options.expectData && disk.readMetadata().isEmpty());
+        DatabaseMetadata metadata = disk.readMetadata()
+                .map(saved -> saved.withIncarnation(saved.incarnation() + 1))
+                .orElseGet(() -> DatabaseMetadata.fresh(clock.millis(), !lost));
+        List<LogEntry> recovered = disk.recoveredEntries();
+        return new DatabaseState(disk, lost ? metadata.lost() : metadata, recovered, fault(options));
+    }
+
+    private static RowFault fault(EmulatorOptions options) {
+        if (options.fault.isEmpty()) {
+            return RowFault.none();
+        }
+        if (!DROP_ACKNOWLEDGED_ROW.equals(options.fault)) {
+            throw new FailureException(FailureType.INVALID_SETTING, "--fault must be " + DROP_ACKNOWLEDGED_ROW);
+        }
+        return RowFault.dropAcknowledgedRow(options.faultAfterWrites);
+    }
+
+    private static List<Endpoint> endpoints(String list) {
+        return Arrays.stream(list.split(",", -1))
+                .filter(item -> !item.isBlank())
+                .map(item -> AddressTranslator.parse(item.trim()))
+                .toList();
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorMain.java
@@ -0,0 +1,50 @@
+package org.hornbeamspread.emulator;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CountDownLatch;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.runtime.CommandLine;
+import org.hornbeamspread.runtime.MonotonicClock;
+
+/** The emulator: stand-in databases, and links between failure domains. */
+public final class EmulatorMain {
+    private static final Logger LOG = System.getLogger(EmulatorMain.class.getName());
+    private static final String BINARY = "hornbeamspread-emulator";
+
+    private EmulatorMain() {}
+
+    /** Runs until SIGTERM. Exits with 2 when a setting is refused. */
+    public static void main(String[] arguments) throws InterruptedException {
+        EmulatorOptions options = new EmulatorOptions();
+        if (CommandLine.answered(BINARY, options, System.out, arguments)) {
+            return;
+        }
+        try {
+            CommandLine.parse(options, System.getenv(), arguments);
+            start(options);
+        } catch (FailureException e) {
+            System.err.println(BINARY + ": " + e.getMessage());
+            System.exit(e.type() == FailureType.INVALID_SETTING ? CommandLine.EXIT_USAGE : 1);
+        }
+        new CountDownLatch(1).await();
+    }
+
+    // A stand-in database has no web server whose shutdown could carry its departure.
+    @SuppressWarnings("ShutdownHook")
+    private static void start(EmulatorOptions options) {
+        if (!"database".equals(options.mode)) {
+            throw new FailureException(FailureType.INVALID_SETTING, "--mode must be database");
+        }
+        DatabaseServer server = DatabaseLauncher.start(options, new MonotonicClock());
+        LOG.log(Level.INFO, "database {0} listens", options.databaseId);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            server.depart().join();
+                            server.close();
+                        },
+                        "departure"));
+    }
+}
--- /dev/null
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/Rows.java
@@ -0,0 +1,16 @@
+package org.hornbeamspread.emulator;
+
+import java.util.Optional;
+import java.util.SortedMap;
+
+/** Tables of rows, each a key and a value. */
+interface Rows {
+    /** The value of a key. */
+    Optional<String> get(String table, String key);
+
+    /** Every row whose key starts with the prefix, in key order. */
+    SortedMap<String, String> withPrefix(String table, String prefix);
+
+    /** Sets the value of a key. */
+    void put(String table, String key, String value);
+}
--- /dev/null
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/StatementService.java
@@ -0,0 +1,233 @@
+package org.hornbeamspread.emulator;
+
+import com.google.common.collect.ArrayListMultimap;
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.ListMultimap;
+import com.google.common.collect.Multiset;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.BeginTransaction;
+import org.hornbeamspread.protocol.schema.CommitTransaction;
+import org.hornbeamspread.protocol.schema.Connected;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.KeyLookedUp;
+import org.hornbeamspread.protocol.schema.LookUpKey;
+import org.hornbeamspread.protocol.schema.Statement;
+import org.hornbeamspread.protocol.schema.StatementResult;
+import org.hornbeamspread.protocol.schema.StatementsExecuted;
+import org.hornbeamspread.protocol.schema.TransactionBegun;
+import org.hornbeamspread.protocol.schema.TransactionEnded;
+import org.hornbeamspread.transport.Envelopes;
+
+/**
+ * Connections, slots, statements and transactions of one database. A statement takes effect at the end of its time in
+ * the slot, and the term is checked then. So of two requests with one idempotency key the second one finds the key of
+ * the first, also when both waited together; and a key look-up waits for requests with that key. Decision thread only.
+ */
+final class StatementService {
+    private final DatabaseSettings settings;
+    private final DatabaseState state;
+    private final DecisionLoop loop;
+    private final Runnable onCommit;
+    private final SlotQueue slots;
+    private final Multiset<String> keysInFlight = HashMultiset.create();
+    private final ListMultimap<String, Runnable> waitingLookUps = ArrayListMultimap.create();
+    private int connections;
+
+    StatementService(DatabaseSettings settings, DatabaseState state, DecisionLoop loop, Runnable onCommit) {
+        this.settings = settings;
+        this.state = state;
+        this.loop = loop;
+        this.onCommit = onCommit;
+        this.slots = new SlotQueue(settings.slots());
+    }
+
+    int connections() {
+        return connections;
+    }
+
+    int slotsInUse() {
+        return slots.inUse();
+    }
+
+    /** Opens a database connection after the connect time. Refused with CONNECTION_LIMIT. */
+    void connect(ClientSession session, boolean departing, Consumer<Envelope> answer) {
+        if (departing) {
+            throw new FailureException(FailureType.DEPARTING, settings.databaseId());
+        }
+        if (session.isCounted()) {
+            throw new FailureException(FailureType.INVALID_REQUEST, "connected already");
+        }
+        if (connections >= settings.connectionLimit()) {
+            throw new FailureException(FailureType.CONNECTION_LIMIT, connections + " open");
+        }
+        session.count();
+        connections++;
+        loop.after(Duration.ofMillis(settings.connectTimeMs()), () -> {
+            session.connect();
+            answer.accept(Envelope.newBuilder()
+                    .setConnected(Connected.newBuilder()
+                            .setDatabaseId(settings.databaseId())
+                            .setIncarnation(state.metadata().incarnation())
+                            .setSlots(settings.slots())
+                            .setConnectionLimit(settings.connectionLimit()))
+                    .build());
+        });
+    }
+
+    /** The connection is gone. What runs in a slot runs to its end. */
+    void close(ClientSession session) {
+        if (session.isCounted() && !session.isClosed()) {
+            connections--;
+        }
+        session.close();
+    }
+
+    /** Opens a transaction. */
+    Envelope begin(ClientSession session, BeginTransaction request) {
+        session.checkConnected();
+        if (!request.getReadOnly()) {
+            state.checkWritable(request.getTerm());
+        }
+        session.begin(new DatabaseTransaction(request.getTerm(), request.getReadOnly(), state.rows()));
+        return Envelope.newBuilder()
+                .setTransactionBegun(TransactionBegun.getDefaultInstance())
+                .build();
+    }
+
+    /** Runs statements in a slot, and calls {@code done} after the answer. */
+    void execute(ClientSession session, ExecuteStatements request, Consumer<Envelope> answer, Runnable done) {
+        session.checkConnected();
+        Optional<CommitOutcome> refusedOrReplayed = beforeSlot(session, request);
+        if (refusedOrReplayed.isPresent()) {
+            answer.accept(executed(refusedOrReplayed.get()));
+            done.run();
+            return;
+        }
+        long holdMs = holdMs(request.getStatementsList());
+        keysInFlight.add(request.getIdempotencyKey());
+        slots.submit(() -> {
+            if (session.isClosed()) {
+                loop.submit(() -> finish(request, done));
+            } else {
+                loop.after(Duration.ofMillis(holdMs), () -> {
+                    answer.accept(attempt(() -> executed(take(session, request))));
+                    finish(request, done);
+                });
+            }
+        });
+    }
+
+    /** Commits the open transaction. */
+    Envelope commit(ClientSession session, CommitTransaction request) {
+        session.checkConnected();
+        CommitOutcome outcome = state.commit(session.end(), request.getIdempotencyKey());
+        onCommit.run();
+        TransactionEnded.Builder ended = TransactionEnded.newBuilder()
+                .setPosition(Envelopes.position(outcome.position()))
+                .setReplayed(outcome.replayed())
+                .setTerm(state.metadata().term());
+        if (outcome.replayed()) {
+            ended.addAllFirstResults(outcome.results());
+        }
+        return Envelope.newBuilder().setTransactionEnded(ended).build();
+    }
+
+    /** Drops the open transaction. */
+    Envelope rollback(ClientSession session) {
+        session.checkConnected();
+        session.end();
+        return Envelope.newBuilder()
+                .setTransactionEnded(TransactionEnded.newBuilder()
+                        .setPosition(Envelopes.position(state.end()))
+                        .setTerm(state.metadata().term()))
+                .build();
+    }
+
+    /** Looks a key up, after every request in flight with this key. */
+    void lookUp(LookUpKey request, Consumer<Envelope> answer) {
+        if (keysInFlight.contains(request.getIdempotencyKey())) {
+            waitingLookUps.put(request.getIdempotencyKey(), () -> answer.accept(attempt(() -> lookedUp(request))));
+        } else {
+            answer.accept(lookedUp(request));
+        }
+    }
+
+    /** A request's answer, or its typed failure. */
+    static Envelope attempt(java.util.function.Supplier<Envelope> work) {
+        try {
+            return work.get();
+        } catch (FailureException e) {
+            return Envelopes.failureEnvelope(e);
+        }
+    }
+
+    private Optional<CommitOutcome> beforeSlot(ClientSession session, ExecuteStatements request) {
+        if (request.getReadOnly() || session.transaction().isPresent()) {
+            return Optional.empty();
+        }
+        state.checkWritable(request.getTerm());
+        return state.committed(request.getIdempotencyKey());
+    }
+
+    private CommitOutcome take(ClientSession session, ExecuteStatements request) {
+        Optional<DatabaseTransaction> open = session.transaction();
+        if (open.isPresent()) {
+            List<StatementResult> results = open.get().run(request.getStatementsList());
+            return new CommitOutcome(results, state.end(), false);
+        }
+        if (!request.getReadOnly()) {
+            state.checkWritable(request.getTerm());
+            Optional<CommitOutcome> earlier = state.committed(request.getIdempotencyKey());
+            if (earlier.isPresent()) {
+                return earlier.get();
+            }
+        }
+        DatabaseTransaction own = new DatabaseTransaction(request.getTerm(), request.getReadOnly(), state.rows());
+        own.run(request.getStatementsList());
+        CommitOutcome outcome = state.commit(own, request.getIdempotencyKey());
+        onCommit.run();
+        return outcome;
+    }
+
+    private void finish(ExecuteStatements request, Runnable done) {
+        String key = request.getIdempotencyKey();
+        keysInFlight.remove(key);
+        if (!keysInFlight.contains(key)) {
+            waitingLookUps.removeAll(key).forEach(Runnable::run);
+        }
+        slots.release();
+        done.run();
+    }
+
+    private long holdMs(List<Statement> statements) {
+        long sleepMs = statements.stream().mapToLong(StatementRunner::sleepMs).sum();
+        return settings.statementMs() * Math.max(1, statements.size()) + sleepMs;
+    }
+
+    private Envelope executed(CommitOutcome outcome) {
+        return Envelope.newBuilder()
+                .setStatementsExecuted(StatementsExecuted.newBuilder()
+                        .addAllResults(outcome.results())
+                        .setPosition(Envelopes.position(outcome.position()))
+                        .setReplayed(outcome.replayed())
+                        .setTerm(state.metadata().term()))
+                .build();
+    }
+
+    private Envelope lookedUp(LookUpKey request) {
+        state.checkWritable(request.getTerm());
+        KeyLookedUp.Builder found =
+                KeyLookedUp.newBuilder().setTerm(state.metadata().term());
+        state.committed(request.getIdempotencyKey())
+                .ifPresent(outcome -> found.setFound(true)
+                        .setPosition(Envelopes.position(outcome.position()))
+                        .addAllResults(outcome.results()));
+        return Envelope.newBuilder().setKeyLookedUp(found).build();
+    }
+}
--- /dev/null
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseServerTest.java
@@ -0,0 +1,211 @@
+package org.hornbeamspread.emulator;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.hornbeamspread.emulator.TestDatabase.fence;
+import static org.hornbeamspread.emulator.TestDatabase.read;
+import static org.hornbeamspread.emulator.TestDatabase.statement;
+import static org.hornbeamspread.emulator.TestDatabase.write;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Announce;
+import org.hornbeamspread.protocol.schema.BeginTransaction;
+import org.hornbeamspread.protocol.schema.CommitTransaction;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.LookUpKey;
+import org.hornbeamspread.protocol.schema.StatementsExecuted;
+import org.hornbeamspread.transport.PeerConnection;
+import org.hornbeamspread.transport.PeerHandler;
+import org.hornbeamspread.transport.PeerServer;
+import org.hornbeamspread.transport.PeerTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class DatabaseServerTest {
+    private final TestDatabase first = new TestDatabase("d1", 0, List.of());
+    private final TestDatabase second = new TestDatabase("d2", 0, List.of());
+
+    @AfterEach
+    void close() {
+        first.close();
+        second.close();
+    }
+
+    @Test
+    void aWriteReachesTheFollower() {
+        first.primaryAt(1);
+        second.ask(first.followAt(1));
+        StatementsExecuted written =
+                first.ask(write(1, "", statement("row.put", "t", "k", "v"))).getStatementsExecuted();
+        second.awaitReport(
+                report -> report.getApplied().equals(written.getPosition()) && report.getFollowedTerm() == 1);
+        assertThat(second.value("t", "k")).isEqualTo("v");
+    }
+
+    @Test
+    void aFenceStopsWritesOfTheLowerTerm() {
+        first.primaryAt(1);
+        first.ask(fence(2));
+        assertThat(first.refusal(write(1, "", statement("row.put", "t", "k", "v")))
+                        .type())
+                .isEqualTo(FailureType.WRONG_TERM);
+        assertThat(first.refusal(write(2, "", statement("row.put", "t", "k", "v")))
+                        .type())
+                .isEqualTo(FailureType.NOT_PRIMARY);
+        assertThat(first.value("t", "k")).isEmpty();
+        assertThat(first.refusal(fence(2)).type()).isEqualTo(FailureType.WRONG_TERM);
+    }
+
+    @Test
+    void promotionNeedsTheFenceOfExactlyThatTerm() {
+        first.ask(fence(3));
+        assertThat(first.refusal(TestDatabase.promote(2)).type()).isEqualTo(FailureType.WRONG_TERM);
+        assertThat(first.refusal(TestDatabase.promote(4)).type()).isEqualTo(FailureType.WRONG_TERM);
+        assertThat(first.ask(TestDatabase.promote(3)).getPromoted().getMarker().getTerm())
+                .isEqualTo(3);
+    }
+
+    @Test
+    void aStaleTailIsCutBackToThePrimarysLog() {
+        first.primaryAt(1);
+        second.ask(first.followAt(1));
+        StatementsExecuted shared = first.ask(write(1, "", statement("row.put", "t", "k", "shared")))
+                .getStatementsExecuted();
+        second.awaitReport(report -> report.getApplied().equals(shared.getPosition()));
+        second.primaryAt(2);
+        first.ask(write(1, "stale", statement("row.put", "t", "k", "stale")));
+        first.ask(write(1, "", statement("row.put", "t", "other", "stale")));
+        StatementsExecuted newer = second.ask(write(2, "", statement("row.put", "t", "new", "kept")))
+                .getStatementsExecuted();
+        assertThat(first.ask(second.followAt(2)).getFollowing().getEntriesSetAside())
+                .isEqualTo(2);
+        first.awaitReport(report -> report.getApplied().equals(newer.getPosition()));
+        assertThat(first.value("t", "k")).isEqualTo("shared");
+        assertThat(first.value("t", "other")).isEmpty();
+        assertThat(first.value("t", "new")).isEqualTo("kept");
+    }
+
+    @Test
+    void aRepeatedKeyReturnsTheFirstAnswerAlsoFromTheNextPrimary() {
+        first.primaryAt(1);
+        second.ask(first.followAt(1));
+        Envelope.Builder booking = write(1, "key", statement("row.add", "t", "k", "1"));
+        StatementsExecuted once = first.ask(booking).getStatementsExecuted();
+        StatementsExecuted again = first.ask(booking).getStatementsExecuted();
+        assertThat(again).isEqualTo(once.toBuilder().setReplayed(true).build());
+        second.awaitReport(report -> report.getApplied().equals(once.getPosition()));
+        second.primaryAt(2);
+        StatementsExecuted moved =
+                second.ask(write(2, "key", statement("row.add", "t", "k", "1"))).getStatementsExecuted();
+        assertThat(moved.getReplayed()).isTrue();
+        assertThat(moved.getResultsList()).isEqualTo(once.getResultsList());
+        assertThat(moved.getPosition()).isEqualTo(once.getPosition());
+        assertThat(second.value("t", "k")).isEqualTo("1");
+    }
+
+    @Test
+    void aKeyInFlightRunsOnceAndItsLookUpWaits() {
+        first.primaryAt(1);
+        PeerConnection other = first.open();
+        other.request(TestDatabase.connect().build(), TestDatabase.TIMEOUT).join();
+        CompletableFuture<Envelope> holder = first.send(read(statement("sleep", "20")));
+        Envelope booking = write(1, "key", statement("row.add", "t", "k", "1")).build();
+        CompletableFuture<Envelope> one = first.send(booking.toBuilder());
+        CompletableFuture<Envelope> two = other.request(booking, TestDatabase.TIMEOUT);
+        CompletableFuture<Envelope> lookUp = first.send(Envelope.newBuilder()
+                .setLookUpKey(LookUpKey.newBuilder().setTerm(1).setIdempotencyKey("key")));
+        holder.join();
+        assertThat(List.of(
+                        one.join().getStatementsExecuted().getReplayed(),
+                        two.join().getStatementsExecuted().getReplayed()))
+                .containsExactly(true, false);
+        lookUp.join();
+        assertThat(first.value("t", "k")).isEqualTo("1");
+    }
+
+    @Test
+    void aTransactionSeesItsOwnWritesAndOthersSeeThemAfterTheCommit() {
+        first.primaryAt(1);
+        PeerConnection other = first.open();
+        other.request(TestDatabase.connect().build(), TestDatabase.TIMEOUT).join();
+        first.ask(Envelope.newBuilder()
+                .setBeginTransaction(BeginTransaction.newBuilder().setTerm(1)));
+        first.ask(write(1, "", statement("row.insert", "t", "k", "v")));
+        assertThat(first.value("t", "k")).isEqualTo("v");
+        Envelope outside = other.request(read(statement("row.count", "t", "")).build(), TestDatabase.TIMEOUT)
+                .join();
+        assertThat(outside.getStatementsExecuted().getResults(0).getRows(0).getColumns(0))
+                .isEqualTo("0");
+        first.ask(Envelope.newBuilder().setCommitTransaction(CommitTransaction.getDefaultInstance()));
+        Envelope after = other.request(read(statement("row.count", "t", "")).build(), TestDatabase.TIMEOUT)
+                .join();
+        assertThat(after.getStatementsExecuted().getResults(0).getRows(0).getColumns(0))
+                .isEqualTo("1");
+    }
+
+    @Test
+    void aBadStatementChangesNothing() {
+        first.primaryAt(1);
+        assertThat(first.refusal(write(1, "", statement("row.put", "t", "k", "v"), statement("row.drop", "t")))
+                        .type())
+                .isEqualTo(FailureType.INVALID_STATEMENT);
+        assertThat(first.value("t", "k")).isEmpty();
+    }
+
+    @Test
+    void aConnectionBeyondTheLimitIsRefused() {
+        first.open()
+                .request(TestDatabase.connect().build(), TestDatabase.TIMEOUT)
+                .join();
+        CompletableFuture<Envelope> third =
+                first.open().request(TestDatabase.connect().build(), TestDatabase.TIMEOUT);
+        FailureException refused = FailureException.of(assertThrows(CompletionException.class, third::join));
+        assertThat(refused.type()).isEqualTo(FailureType.CONNECTION_LIMIT);
+    }
+
+    @Test
+    void itAnnouncesItselfAndItsDeparture() {
+        CompletableFuture<Announce> announced = new CompletableFuture<>();
+        CompletableFuture<Announce> departed = new CompletableFuture<>();
+        try (PeerTransport transport = new PeerTransport(1)) {
+            Endpoint loopback = Endpoint.newBuilder().setHost("127.0.0.1").build();
+            PeerServer control = transport
+                    .listen(loopback, announcements(announced, departed))
+                    .join();
+            TestDatabase database = new TestDatabase(
+                    "d3",
+                    0,
+                    List.of(loopback.toBuilder().setPort(control.port()).build()));
+            assertThat(announced.join().getReport().getTrusted()).isTrue();
+            assertThat(announced.join().getEndpoint())
+                    .isEqualTo(database.server().endpoint());
+            CompletableFuture<Void> leaving = database.server().depart();
+            assertThat(departed.join().getDatabaseId()).isEqualTo("d3");
+            database.disconnect();
+            leaving.join();
+            database.close();
+        }
+    }
+
+    private static PeerHandler announcements(
+            CompletableFuture<Announce> announced, CompletableFuture<Announce> departed) {
+        return new PeerHandler() {
+            @Override
+            public void onRequest(
+                    PeerConnection connection, Envelope request, java.util.function.Consumer<Envelope> answer) {}
+
+            @Override
+            public void onPush(PeerConnection connection, Envelope push) {
+                announced.complete(push.getAnnounce());
+                if (push.getAnnounce().getDeparting()) {
+                    departed.complete(push.getAnnounce());
+                }
+            }
+        };
+    }
+}
