emulator: tests of the stand-in database's state

Restart, torn log tail, a lost disk until it is readmitted, entries of a fenced term, commits that conflict, and the fault that drops a row.

--- /dev/null
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseStateTest.java
@@ -0,0 +1,181 @@
+package org.hornbeamspread.emulator;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.hornbeamspread.emulator.TestDatabase.statement;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.protocol.schema.LogRead;
+import org.hornbeamspread.protocol.schema.Position;
+import org.hornbeamspread.protocol.schema.ReadLog;
+import org.hornbeamspread.protocol.schema.Statement;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class DatabaseStateTest {
+    private static final int ALL_ENTRIES = 1000;
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void aRestartKeepsLogTermAndFenceAndRaisesTheIncarnation() {
+        DatabaseState before = open();
+        before.fence(4);
+        before.promote(4);
+        put(before, 4, "k", "v");
+        before.fence(6);
+        DatabaseState after = open();
+        assertThat(after.end()).isEqualTo(new LogPosition(4, 2));
+        assertThat(after.rows().get("t", "k")).hasValue("v");
+        assertThat(after.metadata()).isEqualTo(new DatabaseMetadata(2, 6, 4, 6, true));
+        assertThat(after.promote(6)).isEqualTo(new LogPosition(6, 3));
+    }
+
+    @Test
+    void aRestartedPrimaryIsNoPrimary() {
+        DatabaseState before = primary();
+        assertThat(before.isPrimary()).isTrue();
+        DatabaseState after = open();
+        assertThat(failure(() -> after.checkWritable(1))).isEqualTo(FailureType.NOT_PRIMARY);
+        assertThat(failure(() -> after.promote(1))).isEqualTo(FailureType.WRONG_TERM);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 12})
+    void aTornTailIsCutOff(int missingBytes) throws IOException {
+        DatabaseState before = primary();
+        put(before, 1, "kept", "v");
+        put(before, 1, "torn", "v");
+        Path log = folder.resolve("log");
+        try (FileChannel file = FileChannel.open(log, StandardOpenOption.WRITE)) {
+            file.truncate(Files.size(log) - missingBytes);
+        }
+        DatabaseState after = open();
+        assertThat(after.end()).isEqualTo(new LogPosition(1, 2));
+        after.fence(2);
+        after.promote(2);
+        put(after, 2, "next", "v");
+        assertThat(open().rows().withPrefix("t", "").keySet()).containsExactly("kept", "next");
+    }
+
+    @Test
+    void aLostDiskIsNotPromotedUntilItIsReadmitted() {
+        DatabaseState primary = primary();
+        put(primary, 1, "k", "v");
+        DatabaseState lost = inMemory(DatabaseMetadata.fresh(7, false));
+        lost.follow(1);
+        assertThat(failure(() -> lost.readmit(1, 7))).isEqualTo(FailureType.WRONG_TERM);
+        copy(primary, lost, 1);
+        assertThat(failure(() -> lost.readmit(1, 6))).isEqualTo(FailureType.WRONG_TERM);
+        lost.fence(2);
+        assertThat(failure(() -> lost.promote(2))).isEqualTo(FailureType.WRONG_TERM);
+        assertThat(failure(() -> lost.readmit(2, 7))).isEqualTo(FailureType.WRONG_TERM);
+        primary.fence(2);
+        primary.promote(2);
+        lost.follow(2);
+        copy(primary, lost, 2);
+        lost.readmit(2, 7);
+        lost.fence(3);
+        assertThat(lost.promote(3).term()).isEqualTo(3);
+    }
+
+    @Test
+    void entriesOfAnEarlierTermAreRefusedAfterAFence() {
+        DatabaseState primary = primary();
+        DatabaseState replica = inMemory(DatabaseMetadata.fresh(1, true));
+        replica.follow(1);
+        replica.accept(1, LogPosition.NONE);
+        LogRead read = read(primary, 1, LogPosition.NONE);
+        replica.fence(2);
+        assertThat(failure(() -> replica.append(1, read.getEntriesList()))).isEqualTo(FailureType.WRONG_TERM);
+        assertThat(replica.end()).isEqualTo(LogPosition.NONE);
+    }
+
+    @Test
+    void twoTransactionsAddToTheLatestValueAndOnlyOneInsertWins() {
+        DatabaseState state = primary();
+        DatabaseTransaction one = transaction(state, statement("row.add", "t", "n", "1"));
+        DatabaseTransaction two = transaction(state, statement("row.add", "t", "n", "1"));
+        state.commit(one, "");
+        state.commit(two, "");
+        assertThat(state.rows().get("t", "n")).hasValue("2");
+        DatabaseTransaction three = transaction(state, statement("row.insert", "t", "k", "3"));
+        DatabaseTransaction four = transaction(state, statement("row.insert", "t", "k", "4"));
+        state.commit(three, "");
+        assertThat(failure(() -> state.commit(four, ""))).isEqualTo(FailureType.STATEMENT_CONFLICT);
+        assertThat(state.rows().get("t", "k")).hasValue("3");
+    }
+
+    @Test
+    void theFaultDropsARowThatTheLogKeeps() {
+        DatabaseState state = new DatabaseState(
+                DatabaseDisk.none(), DatabaseMetadata.fresh(1, true), List.of(), RowFault.dropAcknowledgedRow(2));
+        state.fence(1);
+        state.promote(1);
+        put(state, 1, "a", "v");
+        put(state, 1, "b", "v");
+        put(state, 1, "c", "v");
+        assertThat(state.rows().withPrefix("t", "").keySet()).containsExactly("a", "c");
+        assertThat(state.end()).isEqualTo(new LogPosition(1, 4));
+    }
+
+    private DatabaseState open() {
+        FileDatabaseDisk disk = new FileDatabaseDisk(folder);
+        DatabaseMetadata metadata = disk.readMetadata()
+                .map(saved -> saved.withIncarnation(saved.incarnation() + 1))
+                .orElseGet(() -> DatabaseMetadata.fresh(1, true));
+        return new DatabaseState(disk, metadata, disk.recoveredEntries(), RowFault.none());
+    }
+
+    private DatabaseState primary() {
+        DatabaseState state = open();
+        state.fence(1);
+        state.promote(1);
+        return state;
+    }
+
+    private static DatabaseState inMemory(DatabaseMetadata metadata) {
+        return new DatabaseState(DatabaseDisk.none(), metadata, List.of(), RowFault.none());
+    }
+
+    private static void put(DatabaseState state, long term, String key, String value) {
+        DatabaseTransaction transaction = new DatabaseTransaction(term, false, state.rows());
+        transaction.run(List.of(statement("row.put", "t", key, value)));
+        state.commit(transaction, "");
+    }
+
+    private static DatabaseTransaction transaction(DatabaseState state, Statement statement) {
+        DatabaseTransaction transaction = new DatabaseTransaction(1, false, state.rows());
+        transaction.run(List.of(statement));
+        return transaction;
+    }
+
+    private static void copy(DatabaseState from, DatabaseState to, long term) {
+        LogPosition after = to.end();
+        to.accept(term, after);
+        to.append(term, read(from, term, after).getEntriesList());
+    }
+
+    private static LogRead read(DatabaseState from, long term, LogPosition after) {
+        return from.read(ReadLog.newBuilder()
+                .setTerm(term)
+                .setMaxEntries(ALL_ENTRIES)
+                .setAfter(Position.newBuilder().setTerm(after.term()).setIndex(after.indexEntries()))
+                .build());
+    }
+
+    private static FailureType failure(Runnable work) {
+        return assertThrows(FailureException.class, work::run).type();
+    }
+}
