--- a/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorMain.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorMain.java
@@ -31,12 +31,20 @@
         new CountDownLatch(1).await();
     }
 
-    // A stand-in database has no web server whose shutdown could carry its departure.
-    @SuppressWarnings("ShutdownHook")
     private static void start(EmulatorOptions options) {
-        if (!"database".equals(options.mode)) {
-            throw new FailureException(FailureType.INVALID_SETTING, "--mode must be database");
+        switch (options.mode) {
+            case "database" -> startDatabase(options);
+            case "link" -> {
+                LinkLauncher.start(options);
+                LOG.log(Level.INFO, "links of {0} listen", options.linkFile);
+            }
+            default -> throw new FailureException(FailureType.INVALID_SETTING, "--mode must be database or link");
         }
+    }
+
+    // A stand-in database has no web server whose shutdown could carry its departure.
+    @SuppressWarnings("ShutdownHook")
+    private static void startDatabase(EmulatorOptions options) {
         DatabaseServer server = DatabaseLauncher.start(options, new MonotonicClock());
         LOG.log(Level.INFO, "database {0} listens", options.databaseId);
         Runtime.getRuntime()
--- a/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorOptions.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorOptions.java
@@ -58,6 +58,12 @@
     @Option(name = "--fault-after-writes", usage = "number of the write whose row the fault drops")
     long faultAfterWrites = 100;
 
+    @Option(name = "--link-file", usage = "the routes, latencies and bandwidths of mode link")
+    String linkFile = "";
+
+    @Option(name = "--http-endpoint", usage = "host:port of the links' control")
+    String httpEndpoint = "";
+
     @Option(name = "--help", usage = "print this")
     boolean help;
 
--- a/emulator/src/main/java/org/hornbeamspread/emulator/StatementService.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/StatementService.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.BeginTransaction;
@@ -159,7 +160,7 @@
     }
 
     /** A request's answer, or its typed failure. */
-    static Envelope attempt(java.util.function.Supplier<Envelope> work) {
+    static Envelope attempt(Supplier<Envelope> work) {
         try {
             return work.get();
         } catch (FailureException e) {
