--- a/core/src/main/java/org/hornbeamspread/core/admission/FifoScheduler.java
+++ b/core/src/main/java/org/hornbeamspread/core/admission/FifoScheduler.java
@@ -1,9 +1,6 @@
 package org.hornbeamspread.core.admission;
 
 import java.time.Instant;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import org.hornbeamspread.core.misc.FailureException;
@@ -13,7 +10,7 @@
 public final class FifoScheduler implements SlotScheduler {
     private final int slots;
     private final int queueLimit;
-    private final Deque<SlotRequest> waiting = new ArrayDeque<>();
+    private final WaitingQueue waiting = new WaitingQueue();
     private int slotsInUse;
 
     /** A scheduler of a number of slots whose queue holds at most {@code queueLimit} requests. */
@@ -37,7 +34,7 @@
             return Optional.empty();
         }
         slotsInUse++;
-        return Optional.of(waiting.remove());
+        return waiting.poll();
     }
 
     @Override
@@ -47,14 +44,7 @@
 
     @Override
     public List<SlotRequest> expired(Instant now) {
-        List<SlotRequest> late = new ArrayList<>();
-        for (SlotRequest request : waiting) {
-            if (request.startBy().isBefore(now)) {
-                late.add(request);
-            }
-        }
-        waiting.removeAll(late);
-        return late;
+        return waiting.removeLate(now);
     }
 
     @Override
