--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/state/ReplayTable.java
@@ -0,0 +1,85 @@
+package org.hornbeamspread.control.state;
+
+import com.google.common.hash.Hashing;
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hornbeamspread.control.CommandResult;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.ReplayedRequest;
+import org.hornbeamspread.transport.Envelopes;
+
+/**
+ * The first outcome of each request id, so that a resend gets it again. Entries expire by age; the age counts from the
+ * latest time in the records themselves, so that every member drops the same entry at the same record.
+ */
+final class ReplayTable {
+    private final long maxAgeMs;
+    private final Map<String, ReplayedRequest> requests = new LinkedHashMap<>();
+    private long latestProposedAtMs;
+
+    ReplayTable(Duration maxAge) {
+        this.maxAgeMs = maxAge.toMillis();
+    }
+
+    /** Moves the table's time forward and drops what is too old. */
+    void advance(long proposedAtMs) {
+        latestProposedAtMs = Math.max(latestProposedAtMs, proposedAtMs);
+        Iterator<ReplayedRequest> oldestFirst = requests.values().iterator();
+        while (oldestFirst.hasNext() && oldestFirst.next().getProposedAtMs() < latestProposedAtMs - maxAgeMs) {
+            oldestFirst.remove();
+        }
+    }
+
+    /** The outcome for a request id that was seen before. */
+    Optional<CommandResult> find(ControlCommand command) {
+        ReplayedRequest first = requests.get(command.getRequestId());
+        if (first == null) {
+            return Optional.empty();
+        }
+        if (!first.getBodyDigest().equals(digest(command))) {
+            FailureException reused = new FailureException(FailureType.REQUEST_ID_REUSED, command.getRequestId());
+            return Optional.of(new CommandResult(first.getVersion(), false, Optional.of(reused)));
+        }
+        Optional<FailureException> failure =
+                first.hasFailure() ? Optional.of(Envelopes.exception(first.getFailure())) : Optional.empty();
+        return Optional.of(new CommandResult(first.getVersion(), true, failure));
+    }
+
+    /** Keeps a first outcome. The entry takes the table's time, so that entries stay in order of age. */
+    void put(ControlCommand command, CommandResult result) {
+        ReplayedRequest.Builder request = ReplayedRequest.newBuilder()
+                .setRequestId(command.getRequestId())
+                .setVersion(result.version())
+                .setProposedAtMs(latestProposedAtMs)
+                .setBodyDigest(digest(command));
+        result.failure().ifPresent(failure -> request.setFailure(Envelopes.failure(failure)));
+        requests.put(command.getRequestId(), request.build());
+    }
+
+    List<ReplayedRequest> entries() {
+        return List.copyOf(requests.values());
+    }
+
+    long latestProposedAtMs() {
+        return latestProposedAtMs;
+    }
+
+    void restore(List<ReplayedRequest> entries, long latestMs) {
+        requests.clear();
+        entries.forEach(entry -> requests.put(entry.getRequestId(), entry));
+        latestProposedAtMs = latestMs;
+    }
+
+    private static ByteString digest(ControlCommand command) {
+        byte[] body =
+                command.toBuilder().clearRequestId().clearProposedAtMs().build().toByteArray();
+        return ByteString.copyFrom(Hashing.sha256().hashBytes(body).asBytes());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/configuration/ConfigurationValidator.java
@@ -0,0 +1,102 @@
+package org.hornbeamspread.core.configuration;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+
+/** Checks a configuration on its own. Each refusal names the place and the reason. */
+public final class ConfigurationValidator {
+    /** Most databases that a group may have. */
+    public static final int MAX_DATABASES_PER_GROUP = 9;
+
+    private static final int FULL_SHARE_PERCENT = 100;
+    private static final int MAX_DURATION_MS = 86_400_000;
+    private static final int MAX_PER_DATABASE = 10_000;
+    private static final int MAX_WORTH = 1_000_000;
+    private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9._-]{0,62}");
+
+    private ConfigurationValidator() {}
+
+    /** The first reason to refuse, as INVALID_CONFIGURATION. */
+    public static Optional<FailureException> check(DeclaredConfiguration configuration) {
+        try {
+            checkNames("ranks", configuration.ranks(), Rank::name);
+            checkNames("groups", configuration.groups(), DatabaseGroup::name);
+            checkNames("services", configuration.services(), Service::name);
+            configuration.ranks().forEach(ConfigurationValidator::checkRank);
+            checkShares(configuration.ranks());
+            configuration.groups().forEach(ConfigurationValidator::checkGroup);
+            Set<String> groups =
+                    configuration.groups().stream().map(DatabaseGroup::name).collect(Collectors.toSet());
+            configuration.services().forEach(service -> checkService(service, groups));
+            return Optional.empty();
+        } catch (FailureException e) {
+            return Optional.of(e);
+        }
+    }
+
+    private static <T> void checkNames(String list, List<T> entries, Function<T, String> nameOf) {
+        require(!entries.isEmpty(), list, "is empty");
+        Set<String> seen = new HashSet<>();
+        for (int i = 0; i < entries.size(); i++) {
+            String name = nameOf.apply(entries.get(i));
+            String place = list + "[" + i + "].name";
+            require(NAME.matcher(name).matches(), place, "'" + name + "' does not match " + NAME.pattern());
+            require(seen.add(name), place, "'" + name + "' is declared twice");
+        }
+    }
+
+    private static void checkRank(Rank rank) {
+        String place = "ranks." + rank.name();
+        checkRange(place + ".target_ms", rank.targetMs(), 1, MAX_DURATION_MS);
+        checkRange(place + ".worth", rank.worth(), 1, MAX_WORTH);
+        checkRange(place + ".guaranteed_share_percent", rank.guaranteedSharePercent(), 0, FULL_SHARE_PERCENT);
+    }
+
+    private static void checkShares(List<Rank> ranks) {
+        long total = ranks.stream().mapToLong(Rank::guaranteedSharePercent).sum();
+        require(
+                total <= FULL_SHARE_PERCENT,
+                "ranks.guaranteed_share_percent",
+                "the shares add up to " + total + ", above " + FULL_SHARE_PERCENT);
+    }
+
+    private static void checkGroup(DatabaseGroup group) {
+        String place = "groups." + group.name();
+        checkRange(place + ".databases", group.databases(), 1, MAX_DATABASES_PER_GROUP);
+        checkRange(place + ".slots_per_database", group.slotsPerDatabase(), 1, MAX_PER_DATABASE);
+        checkRange(place + ".connections_per_database", group.connectionsPerDatabase(), 1, MAX_PER_DATABASE);
+        require(
+                group.connectionsPerDatabase() >= group.slotsPerDatabase(),
+                place + ".connections_per_database",
+                "fewer connections than slots");
+    }
+
+    private static void checkService(Service service, Set<String> groups) {
+        String place = "services." + service.name();
+        require(!service.groups().isEmpty(), place + ".groups", "is empty");
+        Set<String> seen = new HashSet<>();
+        for (String group : service.groups()) {
+            require(groups.contains(group), place + ".groups", "unknown group '" + group + "'");
+            require(seen.add(group), place + ".groups", "'" + group + "' is named twice");
+        }
+        checkRange(place + ".staleness_allowance_ms", service.stalenessAllowanceMs(), 0, MAX_DURATION_MS);
+        checkRange(place + ".default_timeout_ms", service.defaultTimeoutMs(), 1, MAX_DURATION_MS);
+    }
+
+    private static void checkRange(String place, int value, int min, int max) {
+        require(value >= min && value <= max, place, value + " is not within " + min + " to " + max);
+    }
+
+    private static void require(boolean holds, String place, String reason) {
+        if (!holds) {
+            throw new FailureException(FailureType.INVALID_CONFIGURATION, place + ": " + reason);
+        }
+    }
+}
