--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -1,66 +1,174 @@
 package org.hornbeamspread.control.consensus;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.security.SecureRandom;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.hornbeamspread.control.CommandResult;
 import org.hornbeamspread.control.Leadership;
 import org.hornbeamspread.control.ReplicatedLog;
 import org.hornbeamspread.control.StateMachine;
+import org.hornbeamspread.control.storage.DiskLog;
+import org.hornbeamspread.control.storage.WriteGuard;
+import org.hornbeamspread.core.consensus.ConsensusEvent;
+import org.hornbeamspread.core.consensus.Message;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.runtime.DutyThread;
 import org.hornbeamspread.transport.PeerConnection;
 import org.hornbeamspread.transport.PeerTransport;
 
-/** The replicated log of the control members, on its own threads. */
+/**
+ * The replicated log of the control members, on its own threads: one decides, applies and calls back, one writes and
+ * syncs. Futures complete and listeners are called on the deciding thread, which must not be blocked.
+ */
 public final class ConsensusService implements ReplicatedLog, AutoCloseable {
+    private static final Logger LOG = System.getLogger(ConsensusService.class.getName());
+    private static final int RING_EVENTS = 16_384;
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(10);
+    private static final Duration STOP_LIMIT = Duration.ofSeconds(10);
+    private static final long REPORT_RETRY_NS = Duration.ofMillis(1).toNanos();
+
+    private final ConsensusLoop loop;
+    private final DiskDuty disk;
+    private final ConsensusMetrics metrics;
+    private final DutyThread<ConsensusTask> thread;
+
     /** Opens the data directory; {@link #start} runs it. Fails with LOG_CORRUPTED, INVALID_SETTING or DISK_FAILED. */
     public ConsensusService(
             ConsensusSettings settings,
             StateMachine stateMachine,
             Clock clock,
             PeerTransport transport,
-            PrometheusRegistry registry) {}
+            PrometheusRegistry registry) {
+        this(settings, stateMachine, clock, transport, registry, WriteGuard.NONE);
+    }
+
+    /** The same, with a guard that is asked before each write. */
+    public ConsensusService(
+            ConsensusSettings settings,
+            StateMachine stateMachine,
+            Clock clock,
+            PeerTransport transport,
+            PrometheusRegistry registry,
+            WriteGuard guard) {
+        long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
+        DiskLog files =
+                DiskLog.open(settings.dataDirectory(), settings.memberId(), settings.clusterId(), incarnation, guard);
+        MemberDirectory directory = new MemberDirectory(settings.members());
+        directory.learn(files.snapshotMembers());
+        this.metrics = new ConsensusMetrics(registry);
+        this.disk = new DiskDuty("disk-" + settings.memberId(), files, directory, this::report);
+        PeerLinks links = new PeerLinks(transport, settings.electionTimeout(), this::onAnswer);
+        this.loop = new ConsensusLoop(settings, stateMachine, clock, files.stored(), disk, directory, links, metrics);
+        this.thread = new DutyThread<>(
+                "consensus-" + settings.memberId(), RING_EVENTS, this::handle, TICK_INTERVAL, loop::tick);
+    }
 
     /** Starts the threads. */
     public ConsensusService start() {
+        disk.start();
+        thread.start();
         return this;
     }
 
     /** Takes a request of the consensus protocol from the shared peer port. False, untouched, when it is another's. */
     public boolean handle(PeerConnection connection, Envelope request, Consumer<Envelope> answer) {
-        return false;
+        Optional<Message> message = MessageCodec.message(request);
+        message.ifPresent(received -> thread.offer(new ConsensusTask.Request(received, answer)));
+        return message.isPresent();
     }
 
     @Override
     public CompletableFuture<CommandResult> propose(ControlCommand command) {
-        return CompletableFuture.failedFuture(new FailureException(FailureType.NO_LEADER, "not running"));
+        CompletableFuture<CommandResult> outcome = new CompletableFuture<>();
+        offer(new ConsensusTask.Propose(command, outcome), outcome);
+        return outcome;
     }
 
     @Override
     public CompletableFuture<Void> confirmLeadership() {
-        return CompletableFuture.failedFuture(new FailureException(FailureType.NO_LEADER, "not running"));
+        CompletableFuture<Void> outcome = new CompletableFuture<>();
+        offer(new ConsensusTask.Confirm(outcome), outcome);
+        return outcome;
     }
 
     @Override
     public Leadership leadership() {
-        return new Leadership(0, java.util.Optional.empty(), false);
+        return loop.leadership();
     }
 
     @Override
-    public void onLeadershipChange(Consumer<Leadership> listener) {}
+    public void onLeadershipChange(Consumer<Leadership> listener) {
+        loop.addLeadershipListener(listener);
+    }
+
+    /** Calls back on the consensus thread after records were applied, before their proposals complete. */
+    public void onApplied(LongConsumer listener) {
+        loop.addAppliedListener(listener);
+    }
+
+    /** The last record applied here. */
+    public long appliedIndex() {
+        return loop.appliedIndex();
+    }
 
     /** The members as the log has them, with what the leader knows of each one's progress. */
     public List<ControlMember> members() {
-        return List.of();
+        return loop.members();
     }
 
-    /** Stops the threads and closes the files. */
+    /** Stops the threads and closes the files. What waits fails: LEADERSHIP_LOST, or NOT_LEADER if it was not appended. */
     @Override
-    public void close() {}
+    public void close() {
+        thread.close();
+        try {
+            if (thread.awaitStop(STOP_LIMIT)) {
+                loop.close();
+            } else {
+                LOG.log(Level.WARNING, "the consensus thread does not stop");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        disk.close();
+    }
+
+    private void handle(ConsensusTask task) {
+        loop.handle(task);
+        if (thread.waitingEvents() == 0 || loop.isBatchFull()) {
+            loop.flush();
+        }
+    }
+
+    private void offer(ConsensusTask task, CompletableFuture<?> outcome) {
+        if (!thread.offer(task)) {
+            metrics.onRefusal(FailureType.RING_FULL);
+            outcome.completeExceptionally(new FailureException(FailureType.RING_FULL, "consensus"));
+        }
+    }
+
+    private void onAnswer(Envelope answer) {
+        MessageCodec.message(answer)
+                .ifPresent(message -> thread.offer(new ConsensusTask.Event(new ConsensusEvent.Received(message, 0))));
+    }
+
+    /** The disk's reports must not be lost: its thread waits until the ring takes them. */
+    private void report(ConsensusEvent event) {
+        ConsensusTask task = new ConsensusTask.Event(event);
+        while (!thread.offer(task) && !thread.isClosed()) {
+            LockSupport.parkNanos(this, REPORT_RETRY_NS);
+        }
+    }
 }
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
@@ -0,0 +1,334 @@
+package org.hornbeamspread.control.storage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hornbeamspread.core.consensus.ConsensusEffect;
+import org.hornbeamspread.core.consensus.LogRecord;
+import org.hornbeamspread.core.consensus.Membership;
+import org.hornbeamspread.core.consensus.Payload;
+import org.hornbeamspread.core.consensus.Snapshot;
+import org.hornbeamspread.core.consensus.StoredState;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.ChangeMembers;
+import org.hornbeamspread.protocol.schema.ControlMember;
+import org.hornbeamspread.protocol.schema.InstallSnapshot;
+import org.hornbeamspread.protocol.schema.Introduced;
+import org.hornbeamspread.protocol.schema.Vote;
+
+/**
+ * A control member's data directory. It holds {@code identity} (whose it is), {@code formed}, {@code vote},
+ * {@code snapshot} and {@code log}; each has checksums, and the first four are replaced as a whole. The identity is
+ * written last when the directory is made, so that one with an identity but without a log has lost it. Used by one
+ * thread after it is opened.
+ */
+public final class DiskLog implements AutoCloseable {
+    private static final String IDENTITY = "identity";
+    private static final String FORMED = "formed";
+    private static final String VOTE = "vote";
+    private static final String SNAPSHOT = "snapshot";
+    private static final String LOG = "log";
+    private static final String LOCK = "lock";
+
+    private final CheckedFiles files;
+    private final FileChannel lock;
+    private final StoredState stored;
+    private final List<ControlMember> snapshotMembers;
+    private FileChannel log;
+
+    private DiskLog(CheckedFiles files, FileChannel lock, StoredState stored, List<ControlMember> snapshotMembers)
+            throws IOException {
+        this.files = files;
+        this.lock = lock;
+        this.stored = stored;
+        this.snapshotMembers = snapshotMembers;
+        this.log = openLog();
+    }
+
+    /**
+     * Opens a data directory, or makes it when it is empty. Fails with INVALID_SETTING when it is another member's or
+     * in use, LOG_CORRUPTED, DISK_FULL or DISK_FAILED.
+     *
+     * @param newIncarnation the incarnation to take when the directory is empty
+     */
+    public static DiskLog open(
+            Path directory, String memberId, String clusterId, long newIncarnation, WriteGuard guard) {
+        try {
+            Files.createDirectories(directory);
+            FileChannel lock = lock(directory.resolve(LOCK));
+            try {
+                return open(new CheckedFiles(directory, guard), lock, memberId, clusterId, newIncarnation);
+            } catch (IOException | RuntimeException e) {
+                lock.close();
+                throw e;
+            }
+        } catch (IOException e) {
+            throw CheckedFiles.failure(e);
+        }
+    }
+
+    /** What the directory held when it was opened. */
+    public StoredState stored() {
+        return stored;
+    }
+
+    /** The members of the stored snapshot, with their endpoints. */
+    public List<ControlMember> snapshotMembers() {
+        return snapshotMembers;
+    }
+
+    /**
+     * Writes and syncs in one go. Fails with DISK_FULL, after which the same call may be repeated, or DISK_FAILED, after
+     * which nothing may be written or answered any more.
+     *
+     * @param members for the endpoints that go with a snapshot
+     */
+    public void persist(List<ConsensusEffect.Persist> persists, List<ControlMember> members) {
+        try {
+            Optional<ConsensusEffect.StoredVote> vote = persists.stream()
+                    .flatMap(persist -> persist.vote().stream())
+                    .reduce((earlier, later) -> later);
+            if (vote.isPresent()) {
+                writeVote(files, vote.get().term(), vote.get().votedFor());
+            }
+            List<LogRecord> records = new ArrayList<>();
+            for (ConsensusEffect.Persist persist : persists) {
+                if (persist.formed().isPresent()) {
+                    writeFormed(persist.formed().get());
+                }
+                if (persist.rewrite().isPresent()) {
+                    records.clear();
+                    rewrite(persist.rewrite().get(), members);
+                }
+                records.addAll(persist.records());
+            }
+            append(records);
+        } catch (IOException e) {
+            throw CheckedFiles.failure(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            log.close();
+            lock.close();
+        } catch (IOException e) {
+            throw CheckedFiles.failure(e);
+        }
+    }
+
+    private static DiskLog open(
+            CheckedFiles files, FileChannel lock, String memberId, String clusterId, long newIncarnation)
+            throws IOException {
+        Optional<byte[]> identity = files.read(IDENTITY);
+        long incarnation = newIncarnation;
+        if (identity.isPresent()) {
+            incarnation = checkIdentity(files, identity.get(), memberId, clusterId);
+        } else {
+            create(files, memberId, clusterId, newIncarnation);
+        }
+        InstallSnapshot snapshot =
+                InstallSnapshot.parseFrom(files.read(SNAPSHOT).orElse(new byte[0]));
+        return new DiskLog(files, lock, load(files, incarnation, snapshot), snapshot.getMembersList());
+    }
+
+    private static StoredState load(CheckedFiles files, long incarnation, InstallSnapshot wire) throws IOException {
+        Vote vote = Vote.parseFrom(required(files, VOTE));
+        Optional<byte[]> formed = files.read(FORMED);
+        Optional<Membership> members = formed.isPresent()
+                ? Optional.of(RecordCodec.membership(
+                        ChangeMembers.parseFrom(formed.get()).getMembersList()))
+                : Optional.empty();
+        Snapshot snapshot = snapshot(wire);
+        if (!Files.exists(files.path(LOG))) {
+            throw CheckedFiles.corrupted(files.path(LOG), 0);
+        }
+        LogReader reader = new LogReader(files.path(LOG)).read();
+        cutOff(files, reader.endBytes());
+        Optional<String> votedFor =
+                vote.getCandidateId().isEmpty() ? Optional.empty() : Optional.of(vote.getCandidateId());
+        if (reader.baseIndex() > snapshot.lastIndex()) {
+            throw CheckedFiles.corrupted(files.path(SNAPSHOT), 0);
+        }
+        StoredState whole = new StoredState(
+                incarnation,
+                members,
+                vote.getTerm(),
+                votedFor,
+                snapshot,
+                reader.baseIndex(),
+                reader.baseTerm(),
+                reader.records());
+        if (holds(reader, snapshot)) {
+            return whole;
+        }
+        files.replace(LOG, List.of(LogReader.base(snapshot.lastIndex(), snapshot.lastTerm())));
+        return withoutRecords(whole);
+    }
+
+    /** A crash between the two files of a rewrite leaves a log that does not reach, or contradicts, the snapshot. */
+    private static boolean holds(LogReader reader, Snapshot snapshot) {
+        long place = snapshot.lastIndex() - reader.baseIndex();
+        if (place == 0) {
+            return reader.baseTerm() == snapshot.lastTerm();
+        }
+        return place <= reader.records().size()
+                && reader.records().get((int) place - 1).term() == snapshot.lastTerm();
+    }
+
+    private static StoredState withoutRecords(StoredState whole) {
+        return new StoredState(
+                whole.incarnation(),
+                whole.formed(),
+                whole.term(),
+                whole.votedFor(),
+                whole.snapshot(),
+                whole.snapshot().lastIndex(),
+                whole.snapshot().lastTerm(),
+                List.of());
+    }
+
+    private static Snapshot snapshot(InstallSnapshot wire) {
+        return new Snapshot(
+                wire.getLastIndex(),
+                wire.getLastTerm(),
+                RecordCodec.membership(wire.getMembersList()),
+                Payload.copyOf(wire.getState().toByteArray()));
+    }
+
+    private static void cutOff(CheckedFiles files, long endBytes) throws IOException {
+        try (FileChannel channel = FileChannel.open(files.path(LOG), StandardOpenOption.WRITE)) {
+            if (channel.size() > endBytes) {
+                channel.truncate(endBytes);
+                channel.force(true);
+            }
+        }
+    }
+
+    private static byte[] required(CheckedFiles files, String name) throws IOException {
+        return files.read(name).orElseThrow(() -> CheckedFiles.corrupted(files.path(name), 0));
+    }
+
+    private static long checkIdentity(CheckedFiles files, byte[] bytes, String memberId, String clusterId)
+            throws InvalidProtocolBufferException {
+        Introduced identity = Introduced.parseFrom(bytes);
+        String owner = clusterId + "/" + memberId;
+        if (!identity.getMemberId().equals(owner)) {
+            throw new FailureException(
+                    FailureType.INVALID_SETTING,
+                    files.path(IDENTITY).getFileName() + " is of " + identity.getMemberId() + ", not of " + owner);
+        }
+        return identity.getIncarnation();
+    }
+
+    private static void create(CheckedFiles files, String memberId, String clusterId, long incarnation)
+            throws IOException {
+        if (Files.exists(files.path(LOG))
+                && !new LogReader(files.path(LOG)).read().records().isEmpty()) {
+            throw new FailureException(FailureType.LOG_CORRUPTED, "the log has records but no identity");
+        }
+        writeVote(files, 0, Optional.empty());
+        files.replace(LOG, List.of(LogReader.base(0, 0)));
+        Introduced identity = Introduced.newBuilder()
+                .setMemberId(clusterId + "/" + memberId)
+                .setIncarnation(incarnation)
+                .build();
+        files.replace(IDENTITY, List.of(identity.toByteArray()));
+    }
+
+    private static FileChannel lock(Path path) throws IOException {
+        FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        try {
+            if (channel.tryLock() != null) {
+                return channel;
+            }
+        } catch (OverlappingFileLockException e) {
+            // Held by this process: refused as when another process holds it.
+        }
+        channel.close();
+        throw new FailureException(FailureType.INVALID_SETTING, "the data directory is in use");
+    }
+
+    private static void writeVote(CheckedFiles files, long term, Optional<String> votedFor) throws IOException {
+        Vote vote = Vote.newBuilder()
+                .setTerm(term)
+                .setCandidateId(votedFor.orElse(""))
+                .build();
+        files.replace(VOTE, List.of(vote.toByteArray()));
+    }
+
+    private void writeFormed(Membership members) throws IOException {
+        ChangeMembers formed = ChangeMembers.newBuilder()
+                .addAllMembers(RecordCodec.wire(members))
+                .build();
+        files.replace(FORMED, List.of(formed.toByteArray()));
+    }
+
+    private void rewrite(ConsensusEffect.Rewrite rewrite, List<ControlMember> endpoints) throws IOException {
+        Snapshot snapshot = rewrite.snapshot();
+        InstallSnapshot wire = InstallSnapshot.newBuilder()
+                .setLastIndex(snapshot.lastIndex())
+                .setLastTerm(snapshot.lastTerm())
+                .setState(RecordCodec.bytes(snapshot.state()))
+                .addAllMembers(withEndpoints(snapshot.membership(), endpoints))
+                .build();
+        files.replace(SNAPSHOT, List.of(wire.toByteArray()));
+        List<byte[]> bodies = new ArrayList<>();
+        bodies.add(LogReader.base(rewrite.baseIndex(), rewrite.baseTerm()));
+        if (!rewrite.records().isEmpty()) {
+            bodies.add(LogReader.body(rewrite.records()));
+        }
+        files.replace(LOG, bodies);
+        log.close();
+        log = openLog();
+    }
+
+    private void append(List<LogRecord> records) throws IOException {
+        if (records.isEmpty()) {
+            return;
+        }
+        long before = log.position();
+        try {
+            files.write(log, Frame.encode(LogReader.body(records)));
+        } catch (IOException e) {
+            log.truncate(before);
+            throw e;
+        }
+        try {
+            log.force(false);
+        } catch (IOException e) {
+            FailureException failure = new FailureException(FailureType.DISK_FAILED, String.valueOf(e.getMessage()));
+            failure.initCause(e);
+            throw failure;
+        }
+    }
+
+    /** The wire form of members, with the endpoints that are known. */
+    public static List<ControlMember> withEndpoints(Membership membership, List<ControlMember> endpoints) {
+        return RecordCodec.wire(membership).stream()
+                .map(member -> endpoints.stream()
+                        .filter(known -> known.getMemberId().equals(member.getMemberId()))
+                        .findFirst()
+                        .map(known -> member.toBuilder()
+                                .setPeer(known.getPeer())
+                                .setHttp(known.getHttp())
+                                .build())
+                        .orElse(member))
+                .toList();
+    }
+
+    private FileChannel openLog() throws IOException {
+        FileChannel channel = FileChannel.open(files.path(LOG), StandardOpenOption.WRITE);
+        channel.position(channel.size());
+        return channel;
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/storage/Frame.java
@@ -0,0 +1,60 @@
+package org.hornbeamspread.control.storage;
+
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+/** A checked run of bytes in a file: mark, length, CRC-32C of the body, body. */
+final class Frame {
+    static final int HEADER_BYTES = 12;
+    private static final int MARK = 0x48424c47;
+
+    private Frame() {}
+
+    static ByteBuffer encode(byte[] body) {
+        ByteBuffer frame = ByteBuffer.allocate(HEADER_BYTES + body.length);
+        frame.putInt(MARK)
+                .putInt(body.length)
+                .putInt(checksum(body, 0, body.length))
+                .put(body);
+        return frame.flip();
+    }
+
+    /** The body of the frame at an offset, if a whole and sound one is there. */
+    static Optional<byte[]> decode(byte[] file, int offset) {
+        if (file.length - offset < HEADER_BYTES) {
+            return Optional.empty();
+        }
+        ByteBuffer header = ByteBuffer.wrap(file, offset, HEADER_BYTES);
+        int mark = header.getInt();
+        int length = header.getInt();
+        int checksum = header.getInt();
+        if (mark != MARK || length < 0 || length > file.length - offset - HEADER_BYTES) {
+            return Optional.empty();
+        }
+        int start = offset + HEADER_BYTES;
+        if (checksum(file, start, length) != checksum) {
+            return Optional.empty();
+        }
+        byte[] body = new byte[length];
+        System.arraycopy(file, start, body, 0, length);
+        return Optional.of(body);
+    }
+
+    /** Whether a sound frame begins anywhere behind an offset. */
+    static boolean existsAfter(byte[] file, int offset) {
+        for (int at = offset + 1; at <= file.length - HEADER_BYTES; at++) {
+            boolean marked = ByteBuffer.wrap(file, at, Integer.BYTES).getInt() == MARK;
+            if (marked && decode(file, at).isPresent()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static int checksum(byte[] bytes, int offset, int length) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, offset, length);
+        return (int) crc.getValue();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/storage/WriteGuard.java
@@ -0,0 +1,12 @@
+package org.hornbeamspread.control.storage;
+
+import java.io.IOException;
+
+/** Asked before each write of the data directory; fails as the disk would. */
+public interface WriteGuard {
+    /** Lets every write through. */
+    WriteGuard NONE = bytes -> {};
+
+    /** Fails with an {@link IOException} to refuse a write of so many bytes. */
+    void beforeWrite(long bytes) throws IOException;
+}
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -0,0 +1,145 @@
+package org.hornbeamspread.control.consensus;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.hornbeamspread.control.state.ControlStateMachine;
+import org.hornbeamspread.control.storage.WriteGuard;
+import org.hornbeamspread.protocol.schema.ControlMember;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.runtime.MonotonicClock;
+import org.hornbeamspread.transport.PeerServer;
+import org.hornbeamspread.transport.PeerTransport;
+
+/** Members of one log on loopback, with real files. */
+final class LogCluster implements AutoCloseable {
+    static final Duration LIMIT = Duration.ofSeconds(60);
+
+    private final PeerTransport transport = new PeerTransport(2);
+    private final Path directory;
+    private final int snapshotIntervalRecords;
+    private final List<ControlMember> members = new ArrayList<>();
+    private final Map<String, PeerServer> servers = new TreeMap<>();
+    private final Map<String, AtomicReference<ConsensusService>> handlers = new TreeMap<>();
+    private final Map<String, Running> running = new TreeMap<>();
+
+    LogCluster(Path directory, int size, int snapshotIntervalRecords) {
+        this.directory = directory;
+        this.snapshotIntervalRecords = snapshotIntervalRecords;
+        for (int i = 1; i <= size; i++) {
+            listen("c" + i);
+        }
+    }
+
+    void start(String memberId) {
+        start(memberId, WriteGuard.NONE);
+    }
+
+    void start(String memberId, WriteGuard guard) {
+        ConsensusSettings usual = ConsensusSettings.of(memberId, "test", members, directory(memberId));
+        ConsensusSettings settings = new ConsensusSettings(
+                memberId,
+                usual.clusterId(),
+                members,
+                usual.dataDirectory(),
+                usual.electionTimeout(),
+                usual.heartbeatInterval(),
+                snapshotIntervalRecords);
+        ControlStateMachine state = new ControlStateMachine();
+        ConsensusService log =
+                new ConsensusService(settings, state, new MonotonicClock(), transport, new PrometheusRegistry(), guard);
+        running.put(memberId, new Running(log, state));
+        handlers.get(memberId).set(log);
+        log.start();
+    }
+
+    void startAll() {
+        members.forEach(member -> start(member.getMemberId()));
+    }
+
+    void stop(String memberId) {
+        handlers.get(memberId).set(null);
+        running.remove(memberId).log().close();
+    }
+
+    ConsensusService log(String memberId) {
+        return running.get(memberId).log();
+    }
+
+    ControlStateMachine state(String memberId) {
+        return running.get(memberId).state();
+    }
+
+    Path directory(String memberId) {
+        return directory.resolve(memberId);
+    }
+
+    static <T> T await(CompletableFuture<T> future) {
+        return future.orTimeout(LIMIT.toSeconds(), TimeUnit.SECONDS).join();
+    }
+
+    /** Waits for a running member that leads. */
+    String awaitLeader() {
+        CompletableFuture<String> leader = new CompletableFuture<>();
+        running.forEach((id, member) -> {
+            member.log().onLeadershipChange(leadership -> {
+                if (leadership.isLeader()) {
+                    leader.complete(id);
+                }
+            });
+            if (member.log().leadership().isLeader()) {
+                leader.complete(id);
+            }
+        });
+        return await(leader);
+    }
+
+    /** Waits until a member has applied a record. */
+    void awaitApplied(String memberId, long index) {
+        CompletableFuture<Void> reached = new CompletableFuture<>();
+        log(memberId).onApplied(applied -> {
+            if (applied >= index) {
+                reached.complete(null);
+            }
+        });
+        if (log(memberId).appliedIndex() >= index) {
+            return;
+        }
+        await(reached);
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(running.keySet()).forEach(this::stop);
+        servers.values().forEach(PeerServer::close);
+        transport.close();
+    }
+
+    private void listen(String memberId) {
+        AtomicReference<ConsensusService> handler = new AtomicReference<>();
+        PeerServer server = transport
+                .listen(Endpoint.newBuilder().setHost("127.0.0.1").build(), (peer, request, answer) -> {
+                    ConsensusService log = handler.get();
+                    if (log != null) {
+                        log.handle(peer, request, answer);
+                    }
+                })
+                .join();
+        handlers.put(memberId, handler);
+        servers.put(memberId, server);
+        members.add(ControlMember.newBuilder()
+                .setMemberId(memberId)
+                .setPeer(Endpoint.newBuilder().setHost("127.0.0.1").setPort(server.port()))
+                .build());
+    }
+
+    /** A member that runs. */
+    private record Running(ConsensusService log, ControlStateMachine state) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -0,0 +1,448 @@
+package org.hornbeamspread.core.consensus;
+
+import java.time.Clock;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+
+/**
+ * One member of a log that a majority keeps.
+ *
+ * <p>The problem: several members hold copies of a log, any of them may stop or be cut off, and what was once answered
+ * for must never be lost or changed. The naive way, one writer that copies to the others, fails when the writer is cut
+ * off and a second one begins: both go on. So time is divided into terms with one leader at most. A member votes once a
+ * term; a leader needs a majority of votes, and a record needs copies with a majority. Any two majorities meet, so a new
+ * leader is voted in by someone who holds every committed record, and a member votes only for a candidate whose log is
+ * at least as complete as its own. The other rules, and what each guards, are in {@link ConsensusRule}.
+ *
+ * <p>The class does nothing but decide. {@link #step} takes one event; {@link #drain} gives the effects of the steps
+ * since the last drain, so that the owner may batch: one sync and one message then serve many proposals. Whatever
+ * answers for durable state is held back until the owner reports the sync. Not safe for threads.
+ */
+public final class ConsensusNode {
+    private final NodeState state;
+    private final Formation formation;
+    private final RandomGenerator random;
+    private Role role = Role.FOLLOWER;
+    private Optional<String> leaderId = Optional.empty();
+
+    /** Present while this member leads. */
+    private Optional<LeaderRole> leading = Optional.empty();
+
+    /** Who granted the vote, or the pre-vote, that is under way, with the incarnation that did. */
+    private final Map<String, Long> grants = new HashMap<>();
+
+    /** The persist that makes this candidate's own vote durable. */
+    private long ownVotePersistId;
+
+    private long electionDeadlineMs;
+    private long leaderHeardMs = Long.MIN_VALUE / 2;
+
+    /** Present while the disk takes nothing. */
+    private Optional<FailureType> stalled = Optional.empty();
+
+    private ConsensusEffect.LeadershipChanged published;
+
+    /** A member with all rules in force. */
+    public ConsensusNode(
+            String memberId,
+            List<String> initialMemberIds,
+            StoredState stored,
+            ConsensusTimes times,
+            Clock clock,
+            RandomGenerator random) {
+        this(memberId, initialMemberIds, stored, times, clock, random, EnumSet.allOf(ConsensusRule.class));
+    }
+
+    ConsensusNode(
+            String memberId,
+            List<String> initialMemberIds,
+            StoredState stored,
+            ConsensusTimes times,
+            Clock clock,
+            RandomGenerator random,
+            Set<ConsensusRule> rules) {
+        this.state = new NodeState(memberId, stored, times, rules, clock);
+        this.formation = new Formation(state, initialMemberIds, stored.formed());
+        this.random = random;
+        this.published = new ConsensusEffect.LeadershipChanged(stored.term(), Optional.empty(), false);
+        resetElectionDeadline();
+    }
+
+    /** Takes one event. */
+    public void step(ConsensusEvent event) {
+        if (event instanceof ConsensusEvent.Received received) {
+            onMessage(received.message(), received.replyId());
+        } else if (event instanceof ConsensusEvent.Tick) {
+            tick();
+        } else if (event instanceof ConsensusEvent.Proposal proposal) {
+            propose(proposal);
+        } else if (event instanceof ConsensusEvent.Read read) {
+            read(read.readId());
+        } else if (event instanceof ConsensusEvent.Synced synced) {
+            onSynced(synced.persistId());
+        } else if (event instanceof ConsensusEvent.StorageStalled stall) {
+            onStalled(stall.reason());
+        } else if (event instanceof ConsensusEvent.SnapshotTaken taken) {
+            onSnapshotTaken(taken);
+        }
+    }
+
+    /** The effects of the steps since the last drain, to be carried out in order. */
+    public List<ConsensusEffect> drain() {
+        leading.ifPresent(LeaderRole::flush);
+        if (leading.isPresent() && !state.isSelfVoter() && isMembershipCommitted()) {
+            follow(state.term(), Optional.empty());
+        }
+        publishLeadership();
+        return state.outbox.drain();
+    }
+
+    /** The current term. */
+    public long term() {
+        return state.term();
+    }
+
+    /** The last committed record. */
+    public long commitIndex() {
+        return state.commitIndex();
+    }
+
+    /** The last record, committed or not. */
+    public long lastIndex() {
+        return state.log.lastIndex();
+    }
+
+    /** The members as the last record that sets them has it. */
+    public Membership membership() {
+        return state.log.membership();
+    }
+
+    /** The last record that a member is known to have synced; 0 unless this member leads. */
+    public long matchIndex(String memberId) {
+        return leading.map(leader -> leader.matchIndex(memberId)).orElse(0L);
+    }
+
+    /** Whether this member has neither voted nor kept anything, nor taken part in forming the log. */
+    public boolean isBlank() {
+        return formation.isBlank();
+    }
+
+    private void onMessage(Message message, long replyId) {
+        if (message instanceof Message.VoteRequest request) {
+            onVoteRequest(request, replyId);
+        } else if (message instanceof Message.VoteResponse response) {
+            onVoteResponse(response);
+        } else if (message instanceof Message.AppendRequest request) {
+            onAppendRequest(request, replyId);
+        } else if (message instanceof Message.AppendResponse response) {
+            followLaterTerm(response.term());
+            if (response.term() == state.term()) {
+                leading.ifPresent(leader -> leader.onAppendResponse(response));
+            }
+        } else if (message instanceof Message.SnapshotRequest request) {
+            onSnapshotRequest(request, replyId);
+        } else if (message instanceof Message.SnapshotResponse response) {
+            followLaterTerm(response.term());
+            if (response.term() == state.term()) {
+                leading.ifPresent(leader -> leader.onSnapshotResponse(response));
+            }
+        } else if (message instanceof Message.IntroduceRequest request) {
+            state.outbox.emit(new ConsensusEffect.Reply(replyId, formation.onRequest(request)));
+        } else if (message instanceof Message.IntroduceResponse response) {
+            formation.onResponse(response);
+        }
+    }
+
+    private void tick() {
+        formation.tick();
+        if (leading.isPresent()) {
+            if (!leading.get().tick()) {
+                follow(state.term(), Optional.empty());
+            }
+        } else if (state.nowMs() >= electionDeadlineMs) {
+            resetElectionDeadline();
+            if (state.isSelfVoter() && stalled.isEmpty()) {
+                campaign();
+            }
+        }
+    }
+
+    private void campaign() {
+        leaderId = Optional.empty();
+        grants.clear();
+        if (!state.has(ConsensusRule.PRE_VOTE)) {
+            startElection();
+            return;
+        }
+        role = Role.PRE_CANDIDATE;
+        grants.put(state.selfId, state.incarnation);
+        askForVotes(state.term() + 1, true);
+        countGrants();
+    }
+
+    private void startElection() {
+        role = Role.CANDIDATE;
+        grants.clear();
+        state.vote(state.term() + 1, Optional.of(state.selfId));
+        ownVotePersistId = state.outbox.neededPersistId();
+        resetElectionDeadline();
+        askForVotes(state.term(), false);
+        countOwnVote();
+    }
+
+    private void askForVotes(long term, boolean preVote) {
+        Message request =
+                new Message.VoteRequest(term, state.selfId, state.log.lastIndex(), state.log.lastTerm(), preVote);
+        state.log.membership().voters().stream()
+                .map(Member::memberId)
+                .filter(id -> !id.equals(state.selfId))
+                .forEach(id -> state.outbox.emitWhenSynced(new ConsensusEffect.Send(id, request)));
+    }
+
+    private void countOwnVote() {
+        if (role == Role.CANDIDATE && state.outbox.isSynced(ownVotePersistId)) {
+            grants.put(state.selfId, state.incarnation);
+            countGrants();
+        }
+    }
+
+    private void countGrants() {
+        boolean majority = state.log
+                .membership()
+                .isMajority(voter -> grants.containsKey(voter.memberId())
+                        && state.isVoter(voter.memberId(), grants.get(voter.memberId())));
+        if (majority && role == Role.PRE_CANDIDATE) {
+            startElection();
+        } else if (majority && role == Role.CANDIDATE) {
+            role = Role.LEADER;
+            leaderId = Optional.of(state.selfId);
+            leading = Optional.of(new LeaderRole(state));
+        }
+    }
+
+    private void onVoteRequest(Message.VoteRequest request, long replyId) {
+        if (!formation.mayVote()) {
+            replyToVote(replyId, state.term(), false, request.preVote());
+            return;
+        }
+        boolean undisturbed = state.has(ConsensusRule.PRE_VOTE) && hearsLeader();
+        if (request.preVote()) {
+            boolean wouldGrant = !undisturbed && request.term() > state.term() && isComplete(request);
+            replyToVote(replyId, wouldGrant ? request.term() : state.term(), wouldGrant, true);
+            return;
+        }
+        if (undisturbed && request.term() > state.term()) {
+            replyToVote(replyId, state.term(), false, false);
+            return;
+        }
+        followLaterTerm(request.term());
+        boolean free = state.votedFor().isEmpty() || state.votedFor().get().equals(request.candidateId());
+        boolean granted = request.term() == state.term() && free && isComplete(request);
+        if (granted) {
+            if (state.votedFor().isEmpty()) {
+                state.vote(state.term(), Optional.of(request.candidateId()));
+            }
+            resetElectionDeadline();
+        }
+        replyToVote(replyId, state.term(), granted, false);
+    }
+
+    private void replyToVote(long replyId, long term, boolean granted, boolean preVote) {
+        state.outbox.emitWhenSynced(new ConsensusEffect.Reply(
+                replyId, new Message.VoteResponse(term, granted, preVote, state.selfId, state.incarnation)));
+    }
+
+    private boolean hearsLeader() {
+        return leading.isPresent() || state.nowMs() - leaderHeardMs < state.times.electionTimeoutMs();
+    }
+
+    private boolean isComplete(Message.VoteRequest request) {
+        if (!state.has(ConsensusRule.VOTE_FOR_COMPLETE_LOG)) {
+            return true;
+        }
+        return request.lastTerm() > state.log.lastTerm()
+                || (request.lastTerm() == state.log.lastTerm() && request.lastIndex() >= state.log.lastIndex());
+    }
+
+    private void onVoteResponse(Message.VoteResponse response) {
+        if (!response.granted()) {
+            followLaterTerm(response.term());
+            return;
+        }
+        boolean wanted = response.preVote()
+                ? role == Role.PRE_CANDIDATE && response.term() == state.term() + 1
+                : role == Role.CANDIDATE && response.term() == state.term();
+        if (wanted) {
+            grants.put(response.voterId(), response.incarnation());
+            countGrants();
+        }
+    }
+
+    private void onAppendRequest(Message.AppendRequest request, long replyId) {
+        if (!acceptLeader(request.term(), request.leaderId())) {
+            replyToAppend(replyId, request, false, 0);
+            return;
+        }
+        long previous = request.previousIndex();
+        boolean matches = previous < state.log.baseIndex() || state.log.matches(previous, request.previousTerm());
+        if (!matches) {
+            replyToAppend(replyId, request, false, hintBefore(previous));
+            return;
+        }
+        long match = previous + request.records().size();
+        request.records().forEach(this::takeRecord);
+        state.commitTo(Math.min(request.commitIndex(), match));
+        if (request.records().isEmpty() && state.outbox.isVoteSynced()) {
+            long synced = Math.min(match, state.outbox.syncedIndex());
+            state.outbox.emit(new ConsensusEffect.Reply(replyId, response(request, true, synced)));
+        } else {
+            replyToAppend(replyId, request, true, match);
+        }
+    }
+
+    private void takeRecord(LogRecord record) {
+        if (record.index() <= state.log.baseIndex() || state.log.matches(record.index(), record.term())) {
+            return;
+        }
+        if (record.index() <= state.commitIndex()) {
+            throw new FailureException(
+                    FailureType.LOG_CORRUPTED, "a leader replaces committed record " + record.index());
+        }
+        if (record.index() <= state.log.lastIndex()) {
+            state.log.truncateFrom(record.index());
+            state.outbox.truncatedFrom(record.index());
+        }
+        state.log.append(record);
+        state.outbox.stageRecord(record);
+    }
+
+    /** Where a leader whose record at {@code previous} differs should try next. */
+    private long hintBefore(long previous) {
+        if (previous > state.log.lastIndex()) {
+            return state.log.lastIndex();
+        }
+        return Math.max(state.commitIndex(), state.log.firstOfTermAt(previous) - 1);
+    }
+
+    private void replyToAppend(long replyId, Message.AppendRequest request, boolean success, long matchIndex) {
+        state.outbox.emitWhenSynced(new ConsensusEffect.Reply(replyId, response(request, success, matchIndex)));
+    }
+
+    private Message response(Message.AppendRequest request, boolean success, long matchIndex) {
+        return new Message.AppendResponse(
+                state.term(), success, matchIndex, request.round(), state.selfId, state.incarnation);
+    }
+
+    private void onSnapshotRequest(Message.SnapshotRequest request, long replyId) {
+        long match = 0;
+        if (acceptLeader(request.term(), request.leaderId())) {
+            if (request.snapshot().lastIndex() > state.commitIndex()) {
+                state.install(request.snapshot());
+            }
+            match = request.snapshot().lastIndex();
+        }
+        state.outbox.emitWhenSynced(new ConsensusEffect.Reply(
+                replyId, new Message.SnapshotResponse(state.term(), match, state.selfId, state.incarnation)));
+    }
+
+    /** Follows the sender of an append or a snapshot, unless its term is over. */
+    private boolean acceptLeader(long term, String sender) {
+        if (term < state.term()) {
+            return false;
+        }
+        follow(term, Optional.of(sender));
+        leaderHeardMs = state.nowMs();
+        resetElectionDeadline();
+        return true;
+    }
+
+    private void followLaterTerm(long term) {
+        if (term > state.term()) {
+            follow(term, Optional.empty());
+        }
+    }
+
+    private void follow(long term, Optional<String> leader) {
+        if (term > state.term()) {
+            state.vote(term, Optional.empty());
+        }
+        leading.ifPresent(LeaderRole::refuseReads);
+        leading = Optional.empty();
+        role = Role.FOLLOWER;
+        leaderId = leader;
+    }
+
+    private void propose(ConsensusEvent.Proposal proposal) {
+        if (leading.isPresent() && stalled.isEmpty()) {
+            leading.get().propose(proposal);
+        } else {
+            state.outbox.emit(
+                    new ConsensusEffect.ProposalRefused(proposal.proposalId(), stalled.orElse(FailureType.NOT_LEADER)));
+        }
+    }
+
+    private void read(long readId) {
+        if (leading.isPresent()) {
+            leading.get().read(readId);
+        } else {
+            state.outbox.emit(new ConsensusEffect.ReadRefused(readId, FailureType.NOT_LEADER));
+        }
+    }
+
+    private void onSynced(long persistId) {
+        stalled = Optional.empty();
+        state.outbox.onSynced(persistId);
+        countOwnVote();
+    }
+
+    private void onStalled(FailureType reason) {
+        stalled = Optional.of(reason);
+        if (role != Role.FOLLOWER) {
+            follow(state.term(), Optional.empty());
+        }
+    }
+
+    private void onSnapshotTaken(ConsensusEvent.SnapshotTaken taken) {
+        long index = taken.lastIndex();
+        if (index > state.log.snapshot().lastIndex() && index <= state.commitIndex()) {
+            Snapshot snapshot =
+                    new Snapshot(index, state.log.termAt(index), state.log.membershipAt(index), taken.state());
+            state.log.compact(snapshot, state.times.retainedRecords());
+            state.outbox.stageRewrite(state.log);
+        }
+    }
+
+    private boolean isMembershipCommitted() {
+        return state.log.membershipIndex() <= state.commitIndex();
+    }
+
+    private void publishLeadership() {
+        boolean ready = leading.map(LeaderRole::isReady).orElse(false);
+        ConsensusEffect.LeadershipChanged present =
+                new ConsensusEffect.LeadershipChanged(state.term(), leaderId, ready);
+        if (!present.equals(published)) {
+            published = present;
+            state.outbox.emit(present);
+        }
+    }
+
+    private void resetElectionDeadline() {
+        long timeoutMs = state.times.electionTimeoutMs();
+        electionDeadlineMs = state.nowMs() + timeoutMs + random.nextLong(timeoutMs);
+    }
+
+    /** What this member is at present. */
+    private enum Role {
+        FOLLOWER,
+        PRE_CANDIDATE,
+        CANDIDATE,
+        LEADER
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusTimes.java
@@ -0,0 +1,18 @@
+package org.hornbeamspread.core.consensus;
+
+/**
+ * The times and limits of a log.
+ *
+ * @param electionTimeoutMs the shortest silence before an election; each wait is drawn from it to twice as long
+ * @param heartbeatMs how often a leader sends
+ * @param batchBytes about how many bytes of records go into one message
+ * @param uncommittedRecords how many records a leader holds uncommitted before it refuses more
+ * @param retainedRecords how many records are kept behind a snapshot for followers that lag a little
+ */
+public record ConsensusTimes(
+        long electionTimeoutMs, long heartbeatMs, int batchBytes, int uncommittedRecords, int retainedRecords) {
+    /** With the usual limits. */
+    public static ConsensusTimes of(long electionTimeoutMs, long heartbeatMs) {
+        return new ConsensusTimes(electionTimeoutMs, heartbeatMs, 256 << 10, 8_192, 256);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/Formation.java
@@ -0,0 +1,111 @@
+package org.hornbeamspread.core.consensus;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * How a log begins, and why a member with a lost disk can't begin it again, nor vote.
+ *
+ * <p>A member with an empty disk does not know whether the log is new or whether it has forgotten what it voted and
+ * kept. So each draws an incarnation and asks the others. One of them, the founder, forms the log once every other has
+ * answered, to this very incarnation, that it has neither voted nor kept anything either: then nothing can have been
+ * committed, since a majority would hold it. The members by incarnation are its membership before the first record;
+ * the others learn it from the answers of those that know it.
+ *
+ * <p>A member votes only once the formation or its own log names its incarnation, and votes and copies are counted by
+ * incarnation. One that lost its disk is in neither: it follows as a learner until the log names it. One founder is
+ * needed because two members that formed the log each by itself, with stale answers, could count two incarnations of a
+ * third one.
+ */
+final class Formation {
+    private final NodeState state;
+    private final List<String> initialMemberIds;
+    private final Map<String, Long> blankIncarnations = new TreeMap<>();
+
+    /** The members that the log was formed with, once known and naming this incarnation. */
+    private Optional<Membership> formed;
+
+    private long nextAskMs;
+
+    Formation(NodeState state, List<String> initialMemberIds, Optional<Membership> formed) {
+        this.state = state;
+        this.initialMemberIds = initialMemberIds.stream().sorted().toList();
+        this.formed = formed;
+    }
+
+    /** Whether this member has neither voted nor kept anything. */
+    boolean isBlank() {
+        return formed.isEmpty() && state.term() == 0 && state.log.lastIndex() == 0;
+    }
+
+    /** Whether this member knows that it has forgotten no vote that could still count. */
+    boolean mayVote() {
+        if (formed.isPresent() || !state.has(ConsensusRule.COUNT_INCARNATION)) {
+            return true;
+        }
+        return state.log
+                .membership()
+                .find(state.selfId)
+                .filter(member -> member.incarnation() == state.incarnation || member.incarnation() == 0)
+                .isPresent();
+    }
+
+    void tick() {
+        if (knowsMembers()) {
+            return;
+        }
+        if (!state.has(ConsensusRule.COUNT_INCARNATION)) {
+            form();
+        } else if (state.nowMs() >= nextAskMs) {
+            nextAskMs = state.nowMs() + state.times.heartbeatMs();
+            Message request = new Message.IntroduceRequest(state.selfId, state.incarnation);
+            initialMemberIds.stream()
+                    .filter(id -> !id.equals(state.selfId))
+                    .forEach(id -> state.outbox.emit(new ConsensusEffect.Send(id, request)));
+            found();
+        }
+    }
+
+    Message onRequest(Message.IntroduceRequest request) {
+        return new Message.IntroduceResponse(
+                state.selfId, state.incarnation, isBlank(), request.incarnation(), formed.orElse(Membership.NONE));
+    }
+
+    void onResponse(Message.IntroduceResponse response) {
+        if (response.askedBy() != state.incarnation || knowsMembers()) {
+            return;
+        }
+        if (response.formed().isVoter(state.selfId, state.incarnation)) {
+            adopt(response.formed());
+        } else if (response.blank()) {
+            blankIncarnations.put(response.memberId(), response.incarnation());
+            found();
+        }
+    }
+
+    private boolean knowsMembers() {
+        return formed.isPresent() || !state.log.membership().members().isEmpty();
+    }
+
+    private void found() {
+        boolean founder = initialMemberIds.get(0).equals(state.selfId);
+        blankIncarnations.put(state.selfId, state.incarnation);
+        if (founder && isBlank() && blankIncarnations.keySet().containsAll(initialMemberIds)) {
+            form();
+        }
+    }
+
+    private void form() {
+        adopt(new Membership(initialMemberIds.stream()
+                .map(id -> new Member(id, blankIncarnations.getOrDefault(id, 0L), true))
+                .toList()));
+    }
+
+    private void adopt(Membership members) {
+        formed = Optional.of(members);
+        state.log.form(members);
+        state.outbox.stageFormed(members);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/LeaderRole.java
@@ -0,0 +1,299 @@
+package org.hornbeamspread.core.consensus;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.hornbeamspread.core.misc.FailureType;
+
+/**
+ * What a member does while it leads: replicates, commits, confirms reads, and mends the membership.
+ *
+ * <p>A record is committed once a majority of voters has synced it and it is of the leader's own term; an older one is
+ * committed by a younger one behind it, since a later leader may still replace a record that merely has copies. So the
+ * leader first appends an empty record of its term.
+ *
+ * <p>A read is confirmed by a round of appends that began after the read came: a majority that still follows this
+ * term proves that no later leader had committed anything before.
+ *
+ * <p>A voter that answers with a new incarnation lost its disk and its votes. The leader records it first as
+ * non-voting, and as voting again once it has synced everything committed. Each step changes one voter, so that the
+ * majorities before and after meet.
+ */
+final class LeaderRole {
+    private final NodeState state;
+    private final Map<String, Progress> progress = new TreeMap<>();
+    private final Deque<PendingRead> reads = new ArrayDeque<>();
+
+    /** The leader's first record of its term. */
+    private final long firstIndex;
+
+    private long round;
+    private long nextHeartbeatMs;
+    private long nextRepairMs;
+
+    LeaderRole(NodeState state) {
+        this.state = state;
+        followMembership();
+        this.firstIndex = append(Payload.EMPTY, Optional.empty());
+    }
+
+    /** Whether a record of this term is committed. */
+    boolean isReady() {
+        return state.commitIndex() >= firstIndex;
+    }
+
+    /** False when this leader must step down. */
+    boolean tick() {
+        long nowMs = state.nowMs();
+        if (state.has(ConsensusRule.CHECK_QUORUM) && !hearsMajority(nowMs)) {
+            return false;
+        }
+        if (nowMs >= nextHeartbeatMs) {
+            nextHeartbeatMs = nowMs + state.times.heartbeatMs();
+            progress.values().forEach(peer -> send(peer, true));
+        }
+        if (nowMs >= nextRepairMs) {
+            neededMembership(nowMs).ifPresent(members -> {
+                nextRepairMs = nowMs + state.times.electionTimeoutMs();
+                state.outbox.emit(new ConsensusEffect.MembershipNeeded(members));
+            });
+        }
+        return true;
+    }
+
+    void propose(ConsensusEvent.Proposal proposal) {
+        Optional<FailureType> refusal = refusal(proposal);
+        if (refusal.isPresent()) {
+            state.outbox.emit(new ConsensusEffect.ProposalRefused(proposal.proposalId(), refusal.get()));
+            return;
+        }
+        long index = append(proposal.payload(), proposal.membership());
+        state.outbox.emit(new ConsensusEffect.ProposalAppended(proposal.proposalId(), index, state.term()));
+        if (proposal.membership().isPresent()) {
+            followMembership();
+        }
+    }
+
+    void read(long readId) {
+        if (!state.has(ConsensusRule.CONFIRM_READS)) {
+            state.outbox.emit(new ConsensusEffect.ReadConfirmed(readId));
+            return;
+        }
+        reads.add(new PendingRead(readId, Math.max(firstIndex, state.commitIndex()), round + 1));
+    }
+
+    void refuseReads() {
+        reads.forEach(
+                read -> state.outbox.emit(new ConsensusEffect.ReadRefused(read.readId(), FailureType.NOT_LEADER)));
+        reads.clear();
+    }
+
+    void onAppendResponse(Message.AppendResponse response) {
+        Progress peer = heard(response.memberId(), response.incarnation());
+        if (peer == null) {
+            return;
+        }
+        if (response.success()) {
+            peer.onMatch(response.matchIndex());
+            peer.ackedRound = Math.max(peer.ackedRound, response.round());
+        } else {
+            peer.onMismatch(response.matchIndex());
+        }
+    }
+
+    void onSnapshotResponse(Message.SnapshotResponse response) {
+        Progress peer = heard(response.memberId(), response.incarnation());
+        if (peer != null) {
+            peer.snapshotInFlight = false;
+            peer.onMatch(response.matchIndex());
+        }
+    }
+
+    /** Commits what a majority has, confirms reads, and sends what there is to send. */
+    void flush() {
+        commit();
+        boolean newRound = !reads.isEmpty() && reads.peekLast().round() > round;
+        if (newRound) {
+            round++;
+        }
+        confirmReads();
+        progress.values().forEach(peer -> send(peer, newRound));
+    }
+
+    /** The last record that a member is known to have synced. */
+    long matchIndex(String memberId) {
+        if (memberId.equals(state.selfId)) {
+            return state.outbox.syncedIndex();
+        }
+        Progress peer = progress.get(memberId);
+        return peer == null ? 0 : peer.matchIndex;
+    }
+
+    private Progress heard(String memberId, long incarnation) {
+        Progress peer = progress.get(memberId);
+        if (peer == null) {
+            return null;
+        }
+        if (peer.incarnation != incarnation && state.has(ConsensusRule.COUNT_INCARNATION)) {
+            peer.restart(incarnation, state.log.lastIndex() + 1);
+        }
+        peer.lastHeardMs = state.nowMs();
+        return peer;
+    }
+
+    private long append(Payload payload, Optional<Membership> membership) {
+        LogRecord record = new LogRecord(state.log.lastIndex() + 1, state.term(), payload, membership);
+        state.log.append(record);
+        state.outbox.stageRecord(record);
+        return record.index();
+    }
+
+    private void followMembership() {
+        List<String> others = state.log.membership().members().stream()
+                .map(Member::memberId)
+                .filter(id -> !id.equals(state.selfId))
+                .toList();
+        progress.keySet().retainAll(others);
+        others.forEach(id ->
+                progress.computeIfAbsent(id, added -> new Progress(added, state.log.lastIndex() + 1, state.nowMs())));
+    }
+
+    private Optional<FailureType> refusal(ConsensusEvent.Proposal proposal) {
+        if (state.log.lastIndex() - state.commitIndex() >= state.times.uncommittedRecords()) {
+            return Optional.of(FailureType.QUEUE_FULL);
+        }
+        if (proposal.membership().isEmpty() || !state.has(ConsensusRule.ONE_CHANGE_AT_A_TIME)) {
+            return Optional.empty();
+        }
+        Membership next = proposal.membership().get();
+        if (!next.isWellFormed() || state.log.membership().votersChangedTo(next) > 1) {
+            return Optional.of(FailureType.INVALID_REQUEST);
+        }
+        boolean settled = isReady() && state.log.membershipIndex() <= state.commitIndex();
+        boolean caughtUp = next.voters().stream()
+                .filter(voter -> !state.log.membership().voters().contains(voter))
+                .allMatch(voter -> countedMatchIndex(voter) >= state.commitIndex());
+        return settled && caughtUp ? Optional.empty() : Optional.of(FailureType.MEMBER_CHANGE_IN_PROGRESS);
+    }
+
+    /** A voter's copies, as far as they are this incarnation's. */
+    private long countedMatchIndex(Member voter) {
+        if (voter.memberId().equals(state.selfId)) {
+            return isCounted(voter, state.incarnation) ? state.outbox.syncedIndex() : 0;
+        }
+        Progress peer = progress.get(voter.memberId());
+        return peer != null && isCounted(voter, peer.incarnation) ? peer.matchIndex : 0;
+    }
+
+    private boolean isCounted(Member voter, long incarnation) {
+        return voter.incarnation() == incarnation || !state.has(ConsensusRule.COUNT_INCARNATION);
+    }
+
+    private void commit() {
+        List<Member> voters = state.log.membership().voters();
+        List<Long> matches = voters.stream()
+                .map(this::countedMatchIndex)
+                .sorted(Comparator.reverseOrder())
+                .toList();
+        long index = matches.get(matches.size() / 2);
+        boolean ownTerm = index > state.commitIndex() && state.log.termAt(index) == state.term();
+        if (ownTerm || !state.has(ConsensusRule.COMMIT_OWN_TERM_ONLY)) {
+            state.commitTo(index);
+        }
+    }
+
+    private void confirmReads() {
+        while (!reads.isEmpty()) {
+            PendingRead read = reads.peek();
+            boolean confirmed = state.log.membership().isMajority(voter -> hasAcked(voter, read.round()));
+            if (!confirmed || state.commitIndex() < read.index()) {
+                return;
+            }
+            reads.remove();
+            state.outbox.emit(new ConsensusEffect.ReadConfirmed(read.readId()));
+        }
+    }
+
+    private boolean hasAcked(Member voter, long wantedRound) {
+        if (voter.memberId().equals(state.selfId)) {
+            return wantedRound <= round;
+        }
+        Progress peer = progress.get(voter.memberId());
+        return peer != null && isCounted(voter, peer.incarnation) && peer.ackedRound >= wantedRound;
+    }
+
+    private boolean hearsMajority(long nowMs) {
+        long oldestMs = nowMs - 2 * state.times.electionTimeoutMs();
+        return state.log.membership().isMajority(voter -> {
+            Progress peer = progress.get(voter.memberId());
+            return voter.memberId().equals(state.selfId) || (peer != null && peer.lastHeardMs >= oldestMs);
+        });
+    }
+
+    private void send(Progress peer, boolean evenIfEmpty) {
+        long nowMs = state.nowMs();
+        boolean waiting = peer.isWaiting(nowMs);
+        if (peer.nextIndex <= state.log.baseIndex()) {
+            if (!waiting) {
+                sendSnapshot(peer, nowMs);
+            }
+            if (evenIfEmpty) {
+                sendAppend(peer, 0, List.of());
+            }
+        } else if (waiting) {
+            if (evenIfEmpty) {
+                sendAppend(peer, peer.matchIndex >= state.log.baseIndex() ? peer.matchIndex : 0, List.of());
+            }
+        } else {
+            List<LogRecord> records = state.log.from(peer.nextIndex, state.times.batchBytes());
+            if (!records.isEmpty()) {
+                peer.inFlightIndex = records.get(records.size() - 1).index();
+                peer.inFlightUntilMs = nowMs + state.times.electionTimeoutMs();
+            }
+            if (!records.isEmpty() || evenIfEmpty) {
+                sendAppend(peer, peer.nextIndex - 1, records);
+            }
+        }
+    }
+
+    private void sendSnapshot(Progress peer, long nowMs) {
+        peer.snapshotInFlight = true;
+        peer.inFlightUntilMs = nowMs + 10 * state.times.electionTimeoutMs();
+        state.outbox.emit(new ConsensusEffect.Send(
+                peer.memberId, new Message.SnapshotRequest(state.term(), state.selfId, state.log.snapshot())));
+    }
+
+    private void sendAppend(Progress peer, long previousIndex, List<LogRecord> records) {
+        long previousTerm = previousIndex == 0 ? 0 : state.log.termAt(previousIndex);
+        state.outbox.emit(new ConsensusEffect.Send(
+                peer.memberId,
+                new Message.AppendRequest(
+                        state.term(), state.selfId, previousIndex, previousTerm, state.commitIndex(), records, round)));
+    }
+
+    /** The next single step towards a membership in which every member that answers may vote. */
+    private Optional<Membership> neededMembership(long nowMs) {
+        if (!isReady() || state.log.membershipIndex() > state.commitIndex()) {
+            return Optional.empty();
+        }
+        Membership present = state.log.membership();
+        for (Progress peer : progress.values()) {
+            Member member = present.find(peer.memberId).orElseThrow();
+            boolean answers = peer.incarnation != 0 && nowMs - peer.lastHeardMs <= state.times.electionTimeoutMs();
+            if (answers && member.voting() && member.incarnation() != peer.incarnation) {
+                return Optional.of(present.with(new Member(peer.memberId, peer.incarnation, false)));
+            }
+            if (answers && !member.voting() && peer.matchIndex >= state.commitIndex()) {
+                return Optional.of(present.with(new Member(peer.memberId, peer.incarnation, true)));
+            }
+        }
+        return state.log.membershipIndex() == 0 ? Optional.of(present) : Optional.empty();
+    }
+
+    /** A read that waits for a round and for a commit index. */
+    private record PendingRead(long readId, long index, long round) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/NodeState.java
@@ -0,0 +1,93 @@
+package org.hornbeamspread.core.consensus;
+
+import java.time.Clock;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** What a member's roles share. */
+final class NodeState {
+    final String selfId;
+    final long incarnation;
+    final ConsensusTimes times;
+    final MemoryLog log;
+    final Outbox outbox;
+    private final Set<ConsensusRule> rules;
+    private final Clock clock;
+    private long term;
+    private Optional<String> votedFor;
+    private long commitIndex;
+
+    NodeState(String selfId, StoredState stored, ConsensusTimes times, Set<ConsensusRule> rules, Clock clock) {
+        this.selfId = selfId;
+        this.incarnation = stored.incarnation();
+        this.times = times;
+        this.rules = Set.copyOf(rules);
+        this.clock = clock;
+        this.log = new MemoryLog(stored);
+        this.outbox = new Outbox(has(ConsensusRule.SYNC_BEFORE_ANSWER), log.lastIndex());
+        this.term = stored.term();
+        this.votedFor = stored.votedFor();
+        this.commitIndex = stored.snapshot().lastIndex();
+    }
+
+    boolean has(ConsensusRule rule) {
+        return rules.contains(rule);
+    }
+
+    long nowMs() {
+        return clock.millis();
+    }
+
+    long term() {
+        return term;
+    }
+
+    Optional<String> votedFor() {
+        return votedFor;
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    /** Moves to a later term, or votes in the present one. */
+    void vote(long newTerm, Optional<String> candidateId) {
+        term = newTerm;
+        votedFor = candidateId;
+        outbox.stageVote(newTerm, candidateId);
+    }
+
+    /** Whether an incarnation's votes and copies count. */
+    boolean isVoter(String memberId, long memberIncarnation) {
+        if (has(ConsensusRule.COUNT_INCARNATION)) {
+            return log.membership().isVoter(memberId, memberIncarnation);
+        }
+        return log.membership().find(memberId).filter(Member::voting).isPresent();
+    }
+
+    boolean isSelfVoter() {
+        return isVoter(selfId, incarnation);
+    }
+
+    /** Commits up to an index and has it applied. */
+    void commitTo(long index) {
+        if (index > commitIndex) {
+            List<LogRecord> committed = log.between(commitIndex + 1, index);
+            commitIndex = index;
+            outbox.emit(new ConsensusEffect.Apply(committed));
+        }
+    }
+
+    /** Takes a leader's snapshot in place of what is committed here. */
+    void install(Snapshot snapshot) {
+        boolean keepsRecords = log.matches(snapshot.lastIndex(), snapshot.lastTerm());
+        log.install(snapshot);
+        if (!keepsRecords) {
+            outbox.truncatedFrom(snapshot.lastIndex() + 1);
+        }
+        outbox.stageRewrite(log);
+        commitIndex = snapshot.lastIndex();
+        outbox.emit(new ConsensusEffect.Restore(snapshot));
+    }
+}
--- a/protocol/src/main/java/org/hornbeamspread/runtime/DutyThread.java
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/DutyThread.java
@@ -80,6 +80,17 @@
         LockSupport.unpark(thread);
     }
 
+    /** Whether {@link #close} was called. */
+    public boolean isClosed() {
+        return !running;
+    }
+
+    /** Waits until a closed duty has stopped, or the time is over. False when it still runs. */
+    public boolean awaitStop(Duration limit) throws InterruptedException {
+        thread.join(Math.max(1, limit.toMillis()));
+        return !thread.isAlive();
+    }
+
     private void run() {
         long nextTickNs = System.nanoTime();
         while (running) {
