Consensus by random interleavings, each rule left out once; disk and state machine tests

Cause: a log is only as good as the histories it was tried on. A member whose decision or state machine fails halts instead of going on in doubt. onApplied, onMembersChange, appliedIndex for the daemon.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -52,9 +52,15 @@
     private final PendingProposals pending;
     private final Map<Long, Consumer<Envelope>> replies = new LinkedHashMap<>();
     private final List<Consumer<Leadership>> leadershipListeners = new CopyOnWriteArrayList<>();
+    private final List<Consumer<List<ControlMember>>> membersListeners = new CopyOnWriteArrayList<>();
     private final List<LongConsumer> appliedListeners = new CopyOnWriteArrayList<>();
+    private List<ControlMember> publishedMembers = List.of();
     private long nextReplyId = 1;
     private int eventsSinceFlush;
+
+    /** Present after an error that leaves the state in doubt. */
+    private Optional<FailureException> halted = Optional.empty();
+
     private long lastSnapshotIndex;
     private volatile long appliedIndex;
     private volatile Leadership leadership;
@@ -110,7 +116,15 @@
         appliedListeners.add(listener);
     }
 
+    void addMembersListener(Consumer<List<ControlMember>> listener) {
+        membersListeners.add(listener);
+    }
+
     void handle(ConsensusTask task) {
+        if (halted.isPresent()) {
+            refuse(task, halted.get());
+            return;
+        }
         eventsSinceFlush++;
         if (task instanceof ConsensusTask.Event event) {
             onEvent(event.event());
@@ -131,6 +145,9 @@
     }
 
     void tick() {
+        if (halted.isPresent()) {
+            return;
+        }
         node.step(new ConsensusEvent.Tick());
         flush();
         publishMembers();
@@ -138,6 +155,9 @@
 
     /** Carries out what the steps since the last flush decided. */
     void flush() {
+        if (halted.isPresent()) {
+            return;
+        }
         eventsSinceFlush = 0;
         List<ConsensusEffect> effects = node.drain();
         while (!effects.isEmpty()) {
@@ -146,6 +166,13 @@
         }
     }
 
+    /** Takes no further part in the log. */
+    void halt(FailureException failure) {
+        halted = Optional.of(failure);
+        pending.close();
+        publish(new Leadership(leadership.term(), Optional.empty(), false));
+    }
+
     void close() {
         pending.close();
         links.close();
@@ -222,7 +249,7 @@
         List<CommandResult> results = records.stream().map(this::applyOne).toList();
         appliedIndex = records.get(records.size() - 1).index();
         metrics.onApplied(records.size());
-        appliedListeners.forEach(listener -> listener.accept(appliedIndex));
+        publishApplied();
         for (int i = 0; i < records.size(); i++) {
             pending.onApplied(records.get(i).index(), records.get(i).term(), results.get(i));
         }
@@ -245,7 +272,7 @@
             stateMachine.restore(RecordCodec.bytes(snapshot.state()));
             lastSnapshotIndex = snapshot.lastIndex();
             appliedIndex = snapshot.lastIndex();
-            appliedListeners.forEach(listener -> listener.accept(appliedIndex));
+            publishApplied();
         }
     }
 
@@ -254,9 +281,34 @@
         Leadership next = new Leadership(changed.term(), changed.leaderId(), leads && changed.ready());
         pending.onLeadership(leads ? changed.term() : 0);
         metrics.onLeadershipChange(changed.term());
-        leadership = next;
         LOG.log(Level.INFO, "leadership of the control log: {0}", next);
-        leadershipListeners.forEach(listener -> listener.accept(next));
+        publish(next);
+    }
+
+    private void publish(Leadership next) {
+        leadership = next;
+        leadershipListeners.forEach(listener -> callBack(() -> listener.accept(next)));
+    }
+
+    private void publishApplied() {
+        appliedListeners.forEach(listener -> callBack(() -> listener.accept(appliedIndex)));
+    }
+
+    /** A listener's error is not the log's. */
+    private static void callBack(Runnable listener) {
+        try {
+            listener.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "a listener of the control log failed", e);
+        }
+    }
+
+    private void refuse(ConsensusTask task, FailureException failure) {
+        if (task instanceof ConsensusTask.Propose propose) {
+            pending.onRefused(pending.add(propose.outcome()), failure);
+        } else if (task instanceof ConsensusTask.Confirm confirm) {
+            pending.onReadRefused(pending.addRead(confirm.outcome()), failure);
+        }
     }
 
     /** Has a membership recorded that the decision asks for. */
@@ -292,10 +344,16 @@
     }
 
     private void publishMembers() {
-        members = DiskLog.withEndpoints(node.membership(), directory.all()).stream()
+        List<ControlMember> next = DiskLog.withEndpoints(node.membership(), directory.all());
+        boolean changed = !next.equals(publishedMembers);
+        publishedMembers = next;
+        members = next.stream()
                 .map(member -> member.toBuilder()
                         .setMatchedIndex(node.matchIndex(member.getMemberId()))
                         .build())
                 .toList();
+        if (changed) {
+            membersListeners.forEach(listener -> callBack(() -> listener.accept(next)));
+        }
     }
 }
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -73,7 +73,7 @@
         PeerLinks links = new PeerLinks(transport, settings.electionTimeout(), this::onAnswer);
         this.loop = new ConsensusLoop(settings, stateMachine, clock, files.stored(), disk, directory, links, metrics);
         this.thread = new DutyThread<>(
-                "consensus-" + settings.memberId(), RING_EVENTS, this::handle, TICK_INTERVAL, loop::tick);
+                "consensus-" + settings.memberId(), RING_EVENTS, this::handle, TICK_INTERVAL, this::tick);
     }
 
     /** Starts the threads. */
@@ -129,6 +129,11 @@
         return loop.members();
     }
 
+    /** Calls back on the consensus thread when a member, its incarnation or its right to vote changed. */
+    public void onMembersChange(Consumer<List<ControlMember>> listener) {
+        loop.addMembersListener(listener);
+    }
+
     /** Stops the threads and closes the files. What waits fails: LEADERSHIP_LOST, or NOT_LEADER if it was not appended. */
     @Override
     public void close() {
@@ -146,9 +151,25 @@
     }
 
     private void handle(ConsensusTask task) {
-        loop.handle(task);
-        if (thread.waitingEvents() == 0 || loop.isBatchFull()) {
-            loop.flush();
+        guarded(() -> {
+            loop.handle(task);
+            if (thread.waitingEvents() == 0 || loop.isBatchFull()) {
+                loop.flush();
+            }
+        });
+    }
+
+    private void tick() {
+        guarded(loop::tick);
+    }
+
+    /** An error in the decision or in applying leaves the state in doubt: this member takes no further part. */
+    private void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "the control log stops on this member", e);
+            loop.halt(FailureException.of(e));
         }
     }
 
--- a/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
@@ -1,11 +1,20 @@
 package org.hornbeamspread.control.consensus;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
 import org.hornbeamspread.control.CommandResult;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.SetDepartures;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -35,6 +44,77 @@
         }
     }
 
+    @Test
+    void aMemberWithALostDiskIsReadmittedAndThenCarriesTheLog() throws IOException {
+        try (LogCluster cluster = new LogCluster(directory, 3, 50)) {
+            cluster.startAll();
+            String leader = cluster.awaitLeader();
+            for (int i = 0; i < 400; i++) {
+                propose(cluster, leader, "d" + i);
+            }
+            String lost = leader.equals("c3") ? "c2" : "c3";
+            long before = incarnation(cluster, leader, lost);
+            cluster.stop(lost);
+            deleteAll(cluster.directory(lost));
+            cluster.start(lost);
+            LogCluster.await(cluster.members(
+                    leader,
+                    members -> members.stream()
+                            .anyMatch(member -> member.getMemberId().equals(lost)
+                                    && member.getVoting()
+                                    && member.getIncarnation() != before)));
+            String other = leader.equals("c1") ? "c2" : "c1";
+            cluster.stop(other.equals(lost) ? "c1" : other);
+            propose(cluster, cluster.awaitLeader(), "last");
+            cluster.awaitApplied(lost, cluster.log(leader).appliedIndex());
+            assertThat(cluster.state(lost).state().getDepartingDatabaseIdsCount())
+                    .isEqualTo(401);
+        }
+    }
+
+    @Test
+    void aFullDiskRefusesWithItsTypeAndGoesOnLater() {
+        AtomicBoolean full = new AtomicBoolean();
+        try (LogCluster cluster = new LogCluster(directory, 1, 50)) {
+            cluster.start("c1", bytes -> {
+                if (full.get()) {
+                    throw new IOException("No space left on device");
+                }
+            });
+            cluster.awaitLeader();
+            propose(cluster, "c1", "before");
+            full.set(true);
+            assertThat(failure(cluster, "unsure")).isEqualTo(FailureType.LEADERSHIP_LOST);
+            assertThat(failure(cluster, "refused")).isEqualTo(FailureType.DISK_FULL);
+            full.set(false);
+            cluster.awaitLeader();
+            propose(cluster, "c1", "after");
+            assertThat(cluster.state("c1").state().getDepartingDatabaseIdsList())
+                    .containsExactly("before", "unsure", "after");
+        }
+    }
+
+    private static FailureType failure(LogCluster cluster, String databaseId) {
+        CompletionException failure = assertThrows(CompletionException.class, () -> propose(cluster, "c1", databaseId));
+        return FailureException.of(failure).type();
+    }
+
+    private static long incarnation(LogCluster cluster, String leader, String memberId) {
+        return LogCluster.await(cluster.members(leader, members -> members.size() == 3)).stream()
+                .filter(member -> member.getMemberId().equals(memberId))
+                .findFirst()
+                .orElseThrow()
+                .getIncarnation();
+    }
+
+    private static void deleteAll(Path directory) throws IOException {
+        try (Stream<Path> files = Files.list(directory)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     private static CommandResult propose(LogCluster cluster, String memberId, String databaseId) {
         return LogCluster.await(cluster.log(memberId).propose(departure(databaseId)));
     }
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.hornbeamspread.control.state.ControlStateMachine;
 import org.hornbeamspread.control.storage.WriteGuard;
 import org.hornbeamspread.protocol.schema.ControlMember;
@@ -101,6 +103,19 @@
         return await(leader);
     }
 
+    /** Completes once a member has the members so. */
+    CompletableFuture<List<ControlMember>> members(String memberId, Predicate<List<ControlMember>> wanted) {
+        CompletableFuture<List<ControlMember>> reached = new CompletableFuture<>();
+        Consumer<List<ControlMember>> check = present -> {
+            if (wanted.test(present)) {
+                reached.complete(present);
+            }
+        };
+        log(memberId).onMembersChange(check);
+        check.accept(log(memberId).members());
+        return reached;
+    }
+
     /** Waits until a member has applied a record. */
     void awaitApplied(String memberId, long index) {
         CompletableFuture<Void> reached = new CompletableFuture<>();
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
@@ -0,0 +1,199 @@
+package org.hornbeamspread.control.state;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.hornbeamspread.control.CommandResult;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Configuration;
+import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.ControlRecord;
+import org.hornbeamspread.protocol.schema.GroupDefinition;
+import org.hornbeamspread.protocol.schema.GroupTerm;
+import org.hornbeamspread.protocol.schema.RankDefinition;
+import org.hornbeamspread.protocol.schema.ReplaceConfiguration;
+import org.hornbeamspread.protocol.schema.ServiceDefinition;
+import org.hornbeamspread.protocol.schema.SetDepartures;
+import org.hornbeamspread.protocol.schema.SetGroupTerms;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class ControlStateMachineTest {
+    private static final Duration REPLAY_AGE = Duration.ofSeconds(60);
+
+    private final ControlStateMachine machine = new ControlStateMachine(REPLAY_AGE);
+    private long nextIndex = 1;
+
+    @Test
+    void ofTwoChangesAgainstOneVersionTheFirstWins() {
+        assertThat(apply(machine, change("a", 0, 5, 0)).version()).isEqualTo(1);
+        CommandResult second = apply(machine, change("b", 0, 7, 0));
+        assertThat(type(second)).isEqualTo(Optional.of(FailureType.VERSION_CONFLICT));
+        assertThat(machine.state().getConfiguration().getGroups(0).getSlotsPerDatabase())
+                .isEqualTo(5);
+    }
+
+    /** A refusal is a first outcome too. */
+    @ParameterizedTest
+    @CsvSource({"0, ", "4, VERSION_CONFLICT"})
+    void aResendGetsTheFirstOutcomeAlsoFromASnapshot(long expectedVersion, FailureType failure) {
+        CommandResult first = apply(machine, change("a", expectedVersion, 5, 0));
+        apply(machine, change("b", machine.state().getConfiguration().getVersion(), 6, 1));
+        ControlStateMachine restored = new ControlStateMachine(REPLAY_AGE);
+        restored.restore(machine.snapshot());
+        for (ControlStateMachine each : new ControlStateMachine[] {machine, restored}) {
+            CommandResult again = apply(each, change("a", expectedVersion, 5, 2));
+            assertThat(again.replayed()).isTrue();
+            assertThat(again.version()).isEqualTo(first.version());
+            assertThat(type(again)).isEqualTo(Optional.ofNullable(failure));
+        }
+    }
+
+    @Test
+    void aRequestIdIsForOneRequest() {
+        apply(machine, change("a", 0, 5, 0));
+        assertThat(type(apply(machine, change("a", 1, 6, 1)))).isEqualTo(Optional.of(FailureType.REQUEST_ID_REUSED));
+        assertThat(machine.state().getConfiguration().getVersion()).isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"59999, true", "60001, false"})
+    void aRequestIdIsForgottenByAgeInTheRecords(long laterMs, boolean replayed) {
+        apply(machine, change("a", 0, 5, 0));
+        assertThat(apply(machine, change("a", 0, 5, laterMs)).replayed()).isEqualTo(replayed);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "0, 1, '', true",
+        "3, 4, '', true",
+        "3, 3, p, true",
+        "3, 3, q, false",
+        "2, 4, '', false",
+        "3, 2, '', false"
+    })
+    void aGroupsTermGoesForwardAndHasOnePrimary(long expectedTerm, long term, String primaryId, boolean applied) {
+        if (expectedTerm > 0) {
+            apply(machine, terms(0, 3, ""));
+            apply(machine, terms(3, 3, "p"));
+        }
+        CommandResult result = apply(machine, terms(expectedTerm, term, primaryId));
+        assertThat(type(result)).isEqualTo(applied ? Optional.empty() : Optional.of(FailureType.WRONG_TERM));
+        GroupTerm group = machine.state().getGroups(0);
+        assertThat(group.getTerm()).isEqualTo(applied ? term : 3);
+        assertThat(group.getPrimaryId()).isEqualTo(applied ? primaryId : "p");
+    }
+
+    /** Random changes, resends and restores: members agree, first outcomes stay, versions only rise. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+    void membersAgreeAndNothingGoesBack(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        ControlStateMachine restarted = new ControlStateMachine(REPLAY_AGE);
+        Map<String, CommandResult> firstOutcomes = new HashMap<>();
+        long version = 0;
+        for (int step = 0; step < 600; step++) {
+            String requestId = "r" + random.nextInt(200);
+            ControlCommand command = change(requestId, Math.max(0, version - random.nextInt(2)), 5, step);
+            CommandResult result = apply(machine, command);
+            assertWithMessage("seed %s", seed)
+                    .that(describe(apply(restarted, command)))
+                    .isEqualTo(describe(result));
+            CommandResult first = firstOutcomes.putIfAbsent(requestId, result);
+            if (first != null && result.replayed()) {
+                assertThat(result.version()).isEqualTo(first.version());
+                assertThat(type(result)).isEqualTo(type(first));
+            } else if (first != null) {
+                assertThat(type(result)).isEqualTo(Optional.of(FailureType.REQUEST_ID_REUSED));
+            }
+            long next = machine.state().getConfiguration().getVersion();
+            assertThat(next).isAnyOf(version, version + 1);
+            version = next;
+            if (random.nextInt(20) == 0) {
+                ByteString snapshot = machine.snapshot();
+                restarted = new ControlStateMachine(REPLAY_AGE);
+                restarted.restore(snapshot);
+            }
+            assertThat(restarted.state()).isEqualTo(machine.state());
+        }
+        assertThat(version).isGreaterThan(10);
+    }
+
+    @Test
+    void departuresAreSetAndTakenBack() {
+        apply(machine, departure(true));
+        assertThat(machine.state().getDepartingDatabaseIdsList()).containsExactly("d1");
+        apply(machine, departure(false));
+        assertThat(machine.state().getDepartingDatabaseIdsList()).isEmpty();
+    }
+
+    private CommandResult apply(ControlStateMachine target, ControlCommand command) {
+        return target.apply(ControlRecord.newBuilder()
+                .setIndex(nextIndex++)
+                .setTerm(1)
+                .setCommand(command)
+                .build());
+    }
+
+    private static Optional<FailureType> type(CommandResult result) {
+        return result.failure().map(FailureException::type);
+    }
+
+    private static String describe(CommandResult result) {
+        return result.version() + " " + result.replayed() + " " + type(result);
+    }
+
+    private static ControlCommand change(String requestId, long expectedVersion, int slots, long proposedAtMs) {
+        Configuration configuration = Configuration.newBuilder()
+                .addRanks(RankDefinition.newBuilder()
+                        .setName("urgent")
+                        .setTargetMs(300)
+                        .setWorth(100)
+                        .setGuaranteedSharePercent(40))
+                .addGroups(GroupDefinition.newBuilder()
+                        .setName("g1")
+                        .setDatabases(3)
+                        .setSlotsPerDatabase(slots)
+                        .setConnectionsPerDatabase(35))
+                .addServices(ServiceDefinition.newBuilder()
+                        .setName("ledger")
+                        .addGroups("g1")
+                        .setStalenessAllowanceMs(2_000)
+                        .setDefaultTimeoutMs(1_000))
+                .build();
+        return ControlCommand.newBuilder()
+                .setRequestId(requestId)
+                .setProposedAtMs(proposedAtMs)
+                .setReplaceConfiguration(ReplaceConfiguration.newBuilder()
+                        .setConfiguration(configuration)
+                        .setExpectedVersion(expectedVersion))
+                .build();
+    }
+
+    private static ControlCommand terms(long expectedTerm, long term, String primaryId) {
+        return ControlCommand.newBuilder()
+                .setSetGroupTerms(SetGroupTerms.newBuilder()
+                        .addGroups(GroupTerm.newBuilder()
+                                .setGroup("g1")
+                                .setExpectedTerm(expectedTerm)
+                                .setTerm(term)
+                                .setPrimaryId(primaryId)))
+                .build();
+    }
+
+    private static ControlCommand departure(boolean departing) {
+        return ControlCommand.newBuilder()
+                .setSetDepartures(
+                        SetDepartures.newBuilder().addDatabaseIds("d1").setDeparting(departing))
+                .build();
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/storage/DiskLogTest.java
@@ -0,0 +1,217 @@
+package org.hornbeamspread.control.storage;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.hornbeamspread.core.consensus.ConsensusEffect;
+import org.hornbeamspread.core.consensus.LogRecord;
+import org.hornbeamspread.core.consensus.Member;
+import org.hornbeamspread.core.consensus.Membership;
+import org.hornbeamspread.core.consensus.Payload;
+import org.hornbeamspread.core.consensus.Snapshot;
+import org.hornbeamspread.core.consensus.StoredState;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class DiskLogTest {
+    private static final Membership MEMBERS = new Membership(List.of(new Member("c1", 5, true)));
+
+    @TempDir
+    Path directory;
+
+    private long nextPersistId = 1;
+
+    @Test
+    void whatWasPersistedIsFoundAgain() {
+        try (DiskLog log = open()) {
+            persist(log, vote(3, "c2"), records(1, 4, 2));
+            persist(log, vote(4, "c1"), records(3, 6, 4));
+        }
+        StoredState stored = reopened();
+        assertThat(stored.incarnation()).isEqualTo(5);
+        assertThat(stored.term()).isEqualTo(4);
+        assertThat(stored.votedFor()).isEqualTo(Optional.of("c1"));
+        assertThat(stored.records().stream().map(LogRecord::term).toList())
+                .containsExactly(2L, 2L, 4L, 4L, 4L, 4L)
+                .inOrder();
+    }
+
+    @Test
+    void aRewriteKeepsTheSnapshotAndTheRecordsBehindIt() {
+        Snapshot snapshot = new Snapshot(4, 2, MEMBERS, Payload.copyOf(new byte[] {9}));
+        try (DiskLog log = open()) {
+            persist(log, Optional.empty(), records(1, 5, 2));
+            rewrite(log, new ConsensusEffect.Rewrite(snapshot, 3, 2, records(4, 5, 2)));
+            persist(log, Optional.empty(), records(6, 6, 3));
+        }
+        StoredState stored = reopened();
+        assertThat(stored.snapshot()).isEqualTo(snapshot);
+        assertThat(stored.baseIndex()).isEqualTo(3);
+        assertThat(stored.records().stream().map(LogRecord::index).toList()).containsExactly(4L, 5L, 6L);
+    }
+
+    /** The log of before the rewrite does not go with a leader's snapshot: nothing of it may count. */
+    @Test
+    void aStopBetweenTheFilesOfARewriteLeavesNoContradictingRecords() throws IOException {
+        byte[] before;
+        try (DiskLog log = open()) {
+            persist(log, Optional.empty(), records(1, 6, 2));
+            before = Files.readAllBytes(file("log"));
+            Snapshot installed = new Snapshot(4, 3, MEMBERS, Payload.EMPTY);
+            rewrite(log, new ConsensusEffect.Rewrite(installed, 4, 3, List.of()));
+        }
+        Files.write(file("log"), before);
+        try (DiskLog log = open()) {
+            assertThat(log.stored().records()).isEmpty();
+            assertThat(log.stored().baseIndex()).isEqualTo(4);
+            persist(log, Optional.empty(), records(5, 5, 3));
+        }
+        assertThat(reopened().records()).hasSize(1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 5, 12, 20})
+    void aTornLastWriteIsCutOff(int missingBytes) throws IOException {
+        try (DiskLog log = open()) {
+            persist(log, Optional.empty(), records(1, 2, 1));
+            persist(log, Optional.empty(), records(3, 3, 1));
+        }
+        byte[] whole = Files.readAllBytes(file("log"));
+        Files.write(file("log"), Arrays.copyOf(whole, whole.length - missingBytes));
+        try (DiskLog log = open()) {
+            assertThat(log.stored().records()).hasSize(2);
+            persist(log, Optional.empty(), records(3, 4, 2));
+        }
+        assertThat(reopened().records()).hasSize(4);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "log, 30, log at byte 28",
+        "log, 2, log at byte 0",
+        "vote, 13, vote at byte 0",
+        "identity, 14, identity at byte 0"
+    })
+    void corruptionOfWhatWasSyncedIsRefusedByFileAndOffset(String name, int atByte, String place) throws IOException {
+        try (DiskLog log = open()) {
+            persist(log, vote(3, "c2"), records(1, 2, 1));
+            persist(log, Optional.empty(), records(3, 3, 1));
+        }
+        byte[] bytes = Files.readAllBytes(file(name));
+        bytes[atByte] ^= 1;
+        Files.write(file(name), bytes);
+        FailureException failure = assertThrows(FailureException.class, this::open);
+        assertThat(failure.type()).isEqualTo(FailureType.LOG_CORRUPTED);
+        assertThat(failure.detail()).isEqualTo(place);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"log", "vote", "snapshot"})
+    void aMissingFileIsRefused(String name) throws IOException {
+        try (DiskLog log = open()) {
+            persist(log, vote(3, "c2"), records(1, 5, 1));
+            Snapshot snapshot = new Snapshot(4, 1, MEMBERS, Payload.EMPTY);
+            rewrite(log, new ConsensusEffect.Rewrite(snapshot, 4, 1, records(5, 5, 1)));
+        }
+        Files.delete(file(name));
+        assertThat(assertThrows(FailureException.class, this::open).type()).isEqualTo(FailureType.LOG_CORRUPTED);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"c2, test", "c1, other"})
+    void aForeignDirectoryIsRefused(String memberId, String clusterId) {
+        open().close();
+        FailureException failure = assertThrows(
+                FailureException.class, () -> DiskLog.open(directory, memberId, clusterId, 6, WriteGuard.NONE));
+        assertThat(failure.type()).isEqualTo(FailureType.INVALID_SETTING);
+    }
+
+    @Test
+    void aDirectoryInUseIsRefused() {
+        try (DiskLog log = open()) {
+            assertThat(assertThrows(FailureException.class, this::open).type()).isEqualTo(FailureType.INVALID_SETTING);
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aFullDiskRefusesAndTakesTheSameWriteLater(boolean withSnapshot) {
+        boolean[] full = {false};
+        WriteGuard guard = bytes -> {
+            if (full[0]) {
+                throw new IOException("No space left on device");
+            }
+        };
+        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, guard)) {
+            persist(log, Optional.empty(), records(1, 2, 1));
+            Snapshot snapshot = new Snapshot(2, 1, MEMBERS, Payload.EMPTY);
+            Optional<ConsensusEffect.Rewrite> rewrite = withSnapshot
+                    ? Optional.of(new ConsensusEffect.Rewrite(snapshot, 2, 1, List.of()))
+                    : Optional.empty();
+            List<ConsensusEffect.Persist> batch = List.of(new ConsensusEffect.Persist(
+                    nextPersistId++, Optional.empty(), Optional.empty(), rewrite, records(3, 3, 1)));
+            full[0] = true;
+            FailureException failure = assertThrows(FailureException.class, () -> log.persist(batch, List.of()));
+            assertThat(failure.type()).isEqualTo(FailureType.DISK_FULL);
+            full[0] = false;
+            log.persist(batch, List.of());
+        }
+        StoredState stored = reopened();
+        assertThat(stored.baseIndex() + stored.records().size()).isEqualTo(3);
+    }
+
+    private DiskLog open() {
+        return DiskLog.open(directory, "c1", "test", 5, WriteGuard.NONE);
+    }
+
+    private StoredState reopened() {
+        try (DiskLog log = open()) {
+            return log.stored();
+        }
+    }
+
+    private Path file(String name) {
+        return directory.resolve(name);
+    }
+
+    private void persist(DiskLog log, Optional<ConsensusEffect.StoredVote> vote, List<LogRecord> records) {
+        log.persist(
+                List.of(new ConsensusEffect.Persist(
+                        nextPersistId++, Optional.empty(), vote, Optional.empty(), records)),
+                List.of());
+    }
+
+    private void rewrite(DiskLog log, ConsensusEffect.Rewrite rewrite) {
+        log.persist(
+                List.of(new ConsensusEffect.Persist(
+                        nextPersistId++, Optional.empty(), Optional.empty(), Optional.of(rewrite), List.of())),
+                List.of());
+    }
+
+    private static Optional<ConsensusEffect.StoredVote> vote(long term, String candidateId) {
+        return Optional.of(new ConsensusEffect.StoredVote(term, Optional.of(candidateId)));
+    }
+
+    private static List<LogRecord> records(long first, long last, long term) {
+        List<LogRecord> records = new ArrayList<>();
+        for (long index = first; index <= last; index++) {
+            ControlCommand command =
+                    ControlCommand.newBuilder().setProposedAtMs(index).build();
+            records.add(new LogRecord(index, term, RecordCodec.payload(command), Optional.empty()));
+        }
+        return records;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusInterleavingTest.java
@@ -0,0 +1,76 @@
+package org.hornbeamspread.core.consensus;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.EnumSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.LongStream;
+import org.hornbeamspread.core.misc.FailureException;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Random histories by fixed seeds: with all rules nothing is violated, and without any one of them something is. */
+final class ConsensusInterleavingTest {
+    private static final int STEPS = 4_000;
+
+    @ParameterizedTest
+    @CsvSource({"3, 1, 150, false", "5, 1001, 50, false", "3, 2001, 60, true", "5, 3001, 40, true", "1, 4001, 20, false"
+    })
+    void noHistoryViolatesWithAllRules(int members, long firstSeed, int seeds, boolean anyMembers) {
+        int disksLost = 0;
+        int readsConfirmed = 0;
+        long committed = 0;
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            LogHarness harness = new LogHarness(members, seed, EnumSet.allOf(ConsensusRule.class));
+            try {
+                run(harness, anyMembers);
+                if (!anyMembers) {
+                    new RandomDriver(harness, false).settle();
+                }
+            } catch (LogChecker.Violation | FailureException e) {
+                throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+            }
+            disksLost += harness.disksLost;
+            readsConfirmed += harness.readsConfirmed;
+            committed += harness.checker.lastCommitted();
+        }
+        System.out.printf(
+                "members %d, seeds %d..%d: %d records committed, %d reads confirmed, %d disks lost%n",
+                members, firstSeed, firstSeed + seeds - 1, committed, readsConfirmed, disksLost);
+        assertWithMessage("histories commit").that(committed).isGreaterThan(5L * seeds);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "SYNC_BEFORE_ANSWER, false",
+        "VOTE_FOR_COMPLETE_LOG, false",
+        "CONFIRM_READS, false",
+        "COUNT_INCARNATION, false",
+        "ONE_CHANGE_AT_A_TIME, true"
+    })
+    void someHistoryViolatesWithoutTheRule(ConsensusRule rule, boolean anyMembers) {
+        Set<ConsensusRule> rules = EnumSet.complementOf(EnumSet.of(rule));
+        Optional<String> found = LongStream.rangeClosed(1, 2_000)
+                .mapToObj(seed -> violation(seed, rules, anyMembers))
+                .<String>mapMulti(Optional::ifPresent)
+                .findFirst();
+        System.out.println("without " + rule + ": " + found.orElse("nothing found"));
+        assertWithMessage("without %s", rule).that(found).isPresent();
+    }
+
+    private static Optional<String> violation(long seed, Set<ConsensusRule> rules, boolean anyMembers) {
+        LogHarness harness = new LogHarness(3, seed, rules);
+        try {
+            run(harness, anyMembers);
+            return Optional.empty();
+        } catch (LogChecker.Violation | FailureException e) {
+            return Optional.of("seed " + seed + ": " + e.getMessage());
+        }
+    }
+
+    private static void run(LogHarness harness, boolean anyMembers) {
+        harness.formed();
+        new RandomDriver(harness, anyMembers).run(STEPS);
+    }
+}
