--- /dev/null
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/ChangeCommands.java
@@ -0,0 +1,66 @@
+package org.hornbeamspread.ctl;
+
+import org.hornbeamspread.protocol.schema.PromoteDatabaseRequest;
+import org.hornbeamspread.protocol.schema.SetDepartureRequest;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/** The changes to databases. */
+public final class ChangeCommands {
+    private ChangeCommands() {}
+
+    /** The two directions of a departure. */
+    public enum Direction {
+        /** No new work from now on. */
+        START,
+        /** Takes work again. */
+        STOP
+    }
+
+    /** {@code departure start|stop DATABASE}. */
+    public static final class Departure implements Command {
+        @Argument(index = 0, metaVar = "start|stop", required = true)
+        private Direction direction = Direction.START;
+
+        @Argument(index = 1, metaVar = "DATABASE", required = true)
+        private String database = "";
+
+        @Option(name = "--request-id", usage = "the same id again gets the first outcome; default: a fresh one")
+        private String requestId = "";
+
+        @Override
+        public void run(Session session) {
+            String id = Session.requestId(requestId);
+            boolean departing = direction == Direction.START;
+            SetDepartureRequest request = SetDepartureRequest.newBuilder()
+                    .setDatabaseId(database)
+                    .setDeparting(departing)
+                    .setRequestId(id)
+                    .build();
+            session.change("SetDeparture", request, id, database + (departing ? " is departing" : " takes work"));
+        }
+    }
+
+    /** {@code promote GROUP [--database ID]}. */
+    public static final class Promote implements Command {
+        @Argument(metaVar = "GROUP", required = true)
+        private String group = "";
+
+        @Option(name = "--database", usage = "the new primary; default: the one with the latest position")
+        private String database = "";
+
+        @Option(name = "--request-id", usage = "the same id again gets the first outcome; default: a fresh one")
+        private String requestId = "";
+
+        @Override
+        public void run(Session session) {
+            String id = Session.requestId(requestId);
+            PromoteDatabaseRequest request = PromoteDatabaseRequest.newBuilder()
+                    .setGroup(group)
+                    .setDatabaseId(database)
+                    .setRequestId(id)
+                    .build();
+            session.change("PromoteDatabase", request, id, "promotion of " + group + " is under way");
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/ControlClient.java
@@ -0,0 +1,107 @@
+package org.hornbeamspread.ctl;
+
+import com.google.protobuf.Message;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import org.hornbeamspread.core.misc.Effect;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.http.RpcClient;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Failure;
+import org.hornbeamspread.transport.AddressTranslator;
+import org.hornbeamspread.transport.Envelopes;
+
+/**
+ * Calls the control leader. Any member may be asked; one that does not lead names the leader, which is asked next, and
+ * one that can't be reached is passed over. Every change carries a request id, so that a change whose answer was lost
+ * can be sent again, to another member too, and gets its first outcome.
+ */
+final class ControlClient {
+    private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration ROUND_PAUSE = Duration.ofMillis(100);
+
+    private final RpcClient client = new RpcClient();
+    private final List<Endpoint> members;
+    private final Duration timeout;
+    private final Clock clock;
+    private final Pause pause;
+
+    /** Where to go on asking; starts with the first member. */
+    private int next;
+
+    /** The leader that a member named last; empty when none was. */
+    private Optional<Endpoint> named = Optional.empty();
+
+    ControlClient(List<Endpoint> members, Duration timeout, Clock clock, Pause pause) {
+        this.members = List.copyOf(members);
+        this.timeout = timeout;
+        this.clock = clock;
+        this.pause = pause;
+    }
+
+    /**
+     * Calls until a member answers for good or the time is over. Fails with the typed refusal, or, when time is over,
+     * with an unknown outcome of any try in preference to the last failure.
+     */
+    <A extends Message> A call(String method, Message request, A answer, Function<A, Failure> failureOf) {
+        Instant deadline = clock.instant().plus(timeout);
+        Optional<FailureException> unknown = Optional.empty();
+        for (int attempt = 1; ; attempt++) {
+            try {
+                return attempt("hornbeamspread.Operations/" + method, request, answer, failureOf);
+            } catch (FailureException e) {
+                if (!isWorthAnotherTry(e.type())) {
+                    throw e;
+                }
+                unknown = e.type().effect() == Effect.UNKNOWN ? Optional.of(e) : unknown;
+                if (!clock.instant().isBefore(deadline)) {
+                    throw unknown.orElse(e);
+                }
+                redirect(e);
+            }
+            if (attempt % members.size() == 0) {
+                pause.sleep(ROUND_PAUSE);
+            }
+        }
+    }
+
+    private <A extends Message> A attempt(String method, Message request, A answer, Function<A, Failure> failureOf) {
+        Endpoint target = named.orElseGet(() -> members.get(next % members.size()));
+        try {
+            A result = client.call(target, method, request, answer, ATTEMPT_TIMEOUT)
+                    .join();
+            Failure failure = failureOf.apply(result);
+            if (!failure.getType().isEmpty()) {
+                throw Envelopes.exception(failure);
+            }
+            return result;
+        } catch (RuntimeException e) {
+            throw FailureException.of(e);
+        }
+    }
+
+    /** Goes on with the leader that a member named, else with the next member. */
+    private void redirect(FailureException failure) {
+        named = Optional.empty();
+        next++;
+        if (failure.type() == FailureType.NOT_LEADER && !failure.detail().isEmpty()) {
+            try {
+                named = Optional.of(AddressTranslator.parse(failure.detail()));
+            } catch (FailureException e) {
+                named = Optional.empty();
+            }
+        }
+    }
+
+    private static boolean isWorthAnotherTry(FailureType type) {
+        return switch (type) {
+            case NOT_LEADER, NO_LEADER, LEADERSHIP_LOST, CONNECTION_REFUSED, CONNECTION_LOST, REQUEST_TIMEOUT -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/ControlCommand.java
@@ -0,0 +1,73 @@
+package org.hornbeamspread.ctl;
+
+import org.hornbeamspread.protocol.schema.ControlMember;
+import org.hornbeamspread.protocol.schema.ReplaceControlMemberRequest;
+import org.hornbeamspread.protocol.schema.Topology;
+import org.hornbeamspread.transport.AddressTranslator;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+
+/** {@code control}: the members and who leads; {@code control replace}: puts a new member in an old one's place. */
+public final class ControlCommand implements Command {
+    /** Null for the question. */
+    @Argument(metaVar = "[replace]", handler = SubCommandHandler.class)
+    @SubCommands({@SubCommand(name = "replace", impl = Replace.class)})
+    private Command command;
+
+    @Override
+    public void run(Session session) {
+        if (command != null) {
+            command.run(session);
+            return;
+        }
+        Topology topology = session.topology();
+        TextTable table = new TextTable("MEMBER", "ROLE", "VOTING", "MATCHED-INDEX", "PEER", "HTTP");
+        for (ControlMember member : topology.getControlMembersList()) {
+            boolean leads = member.getMemberId().equals(topology.getControlLeaderId());
+            table.row(
+                    member.getMemberId(),
+                    leads ? "leader" : "follower",
+                    member.getVoting(),
+                    member.getMatchedIndex(),
+                    member.getPeer().getHost() + ":" + member.getPeer().getPort(),
+                    member.getHttp().getHost() + ":" + member.getHttp().getPort());
+        }
+        session.print(topology, table);
+    }
+
+    /** {@code control replace MEMBER --new-member ID --peer H:P --http H:P}. */
+    public static final class Replace implements Command {
+        @Argument(metaVar = "MEMBER", required = true, usage = "the member to replace")
+        private String member = "";
+
+        @Option(name = "--new-member", usage = "the new member's id; default: the same id, after a lost disk")
+        private String newMember = "";
+
+        @Option(name = "--peer", required = true, metaVar = "HOST:PORT", usage = "the new member's peer endpoint")
+        private String peer = "";
+
+        @Option(name = "--http", required = true, metaVar = "HOST:PORT", usage = "the new member's HTTP endpoint")
+        private String http = "";
+
+        @Option(name = "--request-id", usage = "the same id again gets the first outcome; default: a fresh one")
+        private String requestId = "";
+
+        @Override
+        public void run(Session session) {
+            String id = Session.requestId(requestId);
+            String replacement = newMember.isEmpty() ? member : newMember;
+            ReplaceControlMemberRequest request = ReplaceControlMemberRequest.newBuilder()
+                    .setMemberId(member)
+                    .setReplacement(ControlMember.newBuilder()
+                            .setMemberId(replacement)
+                            .setPeer(AddressTranslator.parse(peer))
+                            .setHttp(AddressTranslator.parse(http)))
+                    .setRequestId(id)
+                    .build();
+            session.change("ReplaceControlMember", request, id, member + " is replaced by " + replacement);
+        }
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/Pause.java
@@ -0,0 +1,20 @@
+package org.hornbeamspread.ctl;
+
+import java.time.Duration;
+
+/** Waits between two tries; a test's own advances its clock instead. */
+interface Pause {
+    /** Returns when the time is over. */
+    void sleep(Duration duration);
+
+    /** Blocks the calling thread. */
+    static Pause blocking() {
+        return duration -> {
+            try {
+                Thread.sleep(duration.toMillis());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        };
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/Session.java
@@ -0,0 +1,105 @@
+package org.hornbeamspread.ctl;
+
+import com.google.protobuf.Message;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.UUID;
+import java.util.function.Predicate;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.http.RpcCodec;
+import org.hornbeamspread.protocol.schema.Configuration;
+import org.hornbeamspread.protocol.schema.Failure;
+import org.hornbeamspread.protocol.schema.GetConfigurationRequest;
+import org.hornbeamspread.protocol.schema.GetTopologyRequest;
+import org.hornbeamspread.protocol.schema.OperationResponse;
+import org.hornbeamspread.protocol.schema.Topology;
+
+/** What every command works with: the client, the output and the time. */
+public final class Session {
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(20);
+
+    private final ControlClient client;
+    private final OutputFormat format;
+    private final PrintStream out;
+    private final Clock clock;
+    private final Pause pause;
+
+    Session(ControlClient client, OutputFormat format, PrintStream out, Clock clock, Pause pause) {
+        this.client = client;
+        this.format = format;
+        this.out = out;
+        this.clock = clock;
+        this.pause = pause;
+    }
+
+    ControlClient client() {
+        return client;
+    }
+
+    Instant now() {
+        return clock.instant();
+    }
+
+    /** Prints an answer in the chosen form. */
+    void print(Message answer, TextTable table) {
+        if (format == OutputFormat.JSON) {
+            out.println(new String(RpcCodec.JSON.encode(answer), StandardCharsets.UTF_8));
+        } else {
+            out.print(table.render());
+        }
+    }
+
+    /** Prints a line for people; left out of JSON output. */
+    void note(String line) {
+        if (format == OutputFormat.TABLE) {
+            out.println(line);
+        }
+    }
+
+    Configuration configuration() {
+        return client.call(
+                "GetConfiguration",
+                GetConfigurationRequest.getDefaultInstance(),
+                Configuration.getDefaultInstance(),
+                answer -> Failure.getDefaultInstance());
+    }
+
+    Topology topology() {
+        return client.call(
+                "GetTopology",
+                GetTopologyRequest.getDefaultInstance(),
+                Topology.getDefaultInstance(),
+                answer -> Failure.getDefaultInstance());
+    }
+
+    /** Asks for the topology until it fits. Fails with REQUEST_TIMEOUT, whose detail says what was waited for. */
+    Topology awaitTopology(Predicate<Topology> condition, Duration timeout, String what) {
+        Instant deadline = clock.instant().plus(timeout);
+        while (true) {
+            Topology topology = topology();
+            if (condition.test(topology)) {
+                return topology;
+            }
+            if (!clock.instant().isBefore(deadline)) {
+                throw new FailureException(FailureType.REQUEST_TIMEOUT, "waited " + timeout.toMillis() + " ms " + what);
+            }
+            pause.sleep(POLL_INTERVAL);
+        }
+    }
+
+    /** Sends a change and prints that it was done. */
+    void change(String method, Message request, String requestId, String done) {
+        OperationResponse answer =
+                client.call(method, request, OperationResponse.getDefaultInstance(), OperationResponse::getFailure);
+        print(answer, new TextTable("RESULT", "REQUEST-ID", "REPLAYED").row(done, requestId, answer.getReplayed()));
+    }
+
+    /** The given request id, or a fresh one. */
+    static String requestId(String given) {
+        return given.isEmpty() ? UUID.randomUUID().toString() : given;
+    }
+}
--- /dev/null
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/TopologyCommands.java
@@ -0,0 +1,131 @@
+package org.hornbeamspread.ctl;
+
+import java.time.Duration;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.GroupView;
+import org.hornbeamspread.protocol.schema.ProxyEntry;
+import org.hornbeamspread.protocol.schema.Topology;
+import org.kohsuke.args4j.Option;
+
+/** The questions about the running system. */
+public final class TopologyCommands {
+    private TopologyCommands() {}
+
+    private static String text(Endpoint endpoint) {
+        return endpoint.getHost() + ":" + endpoint.getPort();
+    }
+
+    private static String orDash(String value) {
+        return value.isEmpty() ? "-" : value;
+    }
+
+    private static TextTable groupTable(Topology topology) {
+        TextTable table = new TextTable("GROUP", "TERM", "PRIMARY", "WRITABLE", "DATABASES");
+        for (GroupView group : topology.getGroupsList()) {
+            table.row(
+                    group.getGroup(),
+                    group.getTerm(),
+                    orDash(group.getPrimaryId()),
+                    group.getWritable(),
+                    group.getDatabasesCount());
+        }
+        return table;
+    }
+
+    private static TextTable databaseTable(Topology topology) {
+        TextTable table = new TextTable(
+                "DATABASE", "GROUP", "ROLE", "DOMAIN", "ENDPOINT", "REACHABLE", "TRUSTED", "DEPARTING", "HOLDER");
+        for (GroupView group : topology.getGroupsList()) {
+            for (DatabaseEntry database : group.getDatabasesList()) {
+                boolean primary = database.getDatabaseId().equals(group.getPrimaryId());
+                table.row(
+                        database.getDatabaseId(),
+                        group.getGroup(),
+                        primary ? "primary" : "replica",
+                        database.getFailureDomain(),
+                        text(database.getEndpoint()),
+                        database.getReachable(),
+                        database.getTrusted(),
+                        database.getDeparting(),
+                        orDash(database.getHolderProxyId()));
+            }
+        }
+        return table;
+    }
+
+    private static TextTable proxyTable(Topology topology) {
+        TextTable table = new TextTable("PROXY", "DOMAIN", "REGION", "HTTP", "CONFIGURATION", "DRAINING");
+        for (ProxyEntry proxy : topology.getProxiesList()) {
+            table.row(
+                    proxy.getProxyId(),
+                    proxy.getFailureDomain(),
+                    proxy.getRegion(),
+                    text(proxy.getHttp()),
+                    proxy.getConfigurationVersion(),
+                    proxy.getDraining());
+        }
+        return table;
+    }
+
+    /** {@code topology}: everything in one answer. */
+    public static final class All implements Command {
+        @Override
+        public void run(Session session) {
+            Topology topology = session.topology();
+            session.note("configuration version " + topology.getConfigurationVersion() + ", control leader "
+                    + orDash(topology.getControlLeaderId()));
+            session.print(topology, groupTable(topology));
+            session.note(databaseTable(topology).render());
+            session.note(proxyTable(topology).render());
+        }
+    }
+
+    /** {@code groups}. */
+    public static final class Groups implements Command {
+        @Option(name = "--await-writable", usage = "wait until every group has a writable primary")
+        private boolean awaitWritable;
+
+        @Option(name = "--await-timeout-ms", usage = "how long to wait")
+        private int awaitTimeoutMs = 30_000;
+
+        @Override
+        public void run(Session session) {
+            Topology topology = awaitWritable
+                    ? session.awaitTopology(
+                            seen -> seen.getGroupsCount() > 0
+                                    && seen.getGroupsList().stream().allMatch(GroupView::getWritable),
+                            Duration.ofMillis(awaitTimeoutMs),
+                            "for a writable primary in every group; 'databases' shows what is missing")
+                    : session.topology();
+            session.print(topology, groupTable(topology));
+        }
+    }
+
+    /** {@code databases}. */
+    public static final class Databases implements Command {
+        @Override
+        public void run(Session session) {
+            Topology topology = session.topology();
+            session.print(topology, databaseTable(topology));
+        }
+    }
+
+    /** {@code proxies}. */
+    public static final class Proxies implements Command {
+        @Option(name = "--await", metaVar = "N", usage = "wait until at least this many proxies are live")
+        private int await;
+
+        @Option(name = "--await-timeout-ms", usage = "how long to wait")
+        private int awaitTimeoutMs = 30_000;
+
+        @Override
+        public void run(Session session) {
+            Topology topology = session.awaitTopology(
+                    seen -> seen.getProxiesCount() >= await,
+                    Duration.ofMillis(awaitTimeoutMs),
+                    "for " + await + " live proxies; see the proxies' logs");
+            session.print(topology, proxyTable(topology));
+        }
+    }
+}
