hornbeamspread-load: open-loop load, ledger of answers, audit, report

Cause: nothing measured what callers get, and nothing could tell a lost or doubled payment. Arrivals are fixed by a seed and start at their intended time; latency counts from there. Each payment's intention and every answer go to a ledger, which is compared with the rows after the run: lost, doubled, ran though refused, unknown, and rows that could not be read. Read-your-writes is checked at another proxy after each acknowledged payment.

--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/AgentSession.java
@@ -0,0 +1,57 @@
+package org.hornbeamspread.load;
+
+import java.util.Optional;
+import org.hornbeamspread.protocol.schema.ExecuteResponse;
+
+/** One agent's session: its token and the payment that the token must make visible. Used by one thread. */
+final class AgentSession {
+    private final String agent;
+    private String token = "";
+    private String lastProxy = "";
+
+    /** The payment that the token was returned with, or that it covers; empty before the first. */
+    private Optional<Payment> visiblePayment = Optional.empty();
+
+    /** Raised with each payment, so that a read that was sent before it doesn't bring back an older token. */
+    private int epoch;
+
+    AgentSession(String agent) {
+        this.agent = agent;
+    }
+
+    String agent() {
+        return agent;
+    }
+
+    String token() {
+        return token;
+    }
+
+    String lastProxy() {
+        return lastProxy;
+    }
+
+    Optional<Payment> visiblePayment() {
+        return visiblePayment;
+    }
+
+    int epoch() {
+        return epoch;
+    }
+
+    /** A payment was acknowledged. */
+    void onPayment(Payment payment, ExecuteResponse answer) {
+        epoch++;
+        visiblePayment = Optional.of(payment);
+        token = answer.getSessionToken();
+        lastProxy = answer.getProxyId();
+    }
+
+    /** A read that was sent in an epoch was answered. */
+    void onRead(int sentInEpoch, ExecuteResponse answer) {
+        if (sentInEpoch == epoch) {
+            token = answer.getSessionToken();
+            lastProxy = answer.getProxyId();
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/Dispatcher.java
@@ -0,0 +1,124 @@
+package org.hornbeamspread.load;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.hornbeamspread.core.misc.Effect;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+
+/**
+ * Sends jobs to proxies and tries them again: with the same key, to another proxy, after a pause that doubles or that the
+ * proxy advises. A job that would exceed the bound on requests in flight is not sent and ends as not run. Everything
+ * but the answers' arrival happens on the run's own thread.
+ */
+final class Dispatcher {
+    private static final int IN_FLIGHT_LIMIT = 4_000;
+    private static final long FIRST_PAUSE_US = 50_000;
+    private static final long LONGEST_PAUSE_US = 1_000_000;
+    private static final Duration NETWORK_ALLOWANCE = Duration.ofMillis(500);
+    private static final long US_PER_MS = 1_000;
+
+    private final ProxyPort port;
+    private final List<String> proxies;
+    private final SplittableRandom random;
+    private final LongSupplier nowUs;
+    private final Consumer<Runnable> onOwnThread;
+    private final PriorityQueue<Retry> retries = new PriorityQueue<>(Comparator.comparingLong(Retry::dueUs));
+    private final Map<FailureType, Long> refusals = new EnumMap<>(FailureType.class);
+    private int inFlight;
+    private long notSent;
+
+    Dispatcher(ProxyPort port, SplittableRandom random, LongSupplier nowUs, Consumer<Runnable> onOwnThread) {
+        this.port = port;
+        this.proxies = port.proxies();
+        this.random = random;
+        this.nowUs = nowUs;
+        this.onOwnThread = onOwnThread;
+    }
+
+    /** Starts a job. */
+    void submit(Job job) {
+        send(job);
+    }
+
+    /** Sends the retries that are due. */
+    void tick() {
+        while (!retries.isEmpty() && retries.peek().dueUs <= nowUs.getAsLong()) {
+            send(retries.poll().job);
+        }
+    }
+
+    /** Whether every job has its last word. */
+    boolean idle() {
+        return inFlight == 0 && retries.isEmpty();
+    }
+
+    /** Requests that wait for an answer. */
+    int inFlight() {
+        return inFlight;
+    }
+
+    /** Jobs that met the bound on requests in flight. */
+    long notSent() {
+        return notSent;
+    }
+
+    /** Answers that carried a failure, tries without an answer included, by its type. */
+    Map<FailureType, Long> refusals() {
+        return new EnumMap<>(refusals);
+    }
+
+    private void send(Job job) {
+        if (inFlight >= IN_FLIGHT_LIMIT) {
+            notSent++;
+            job.listener().onEnd(job, Optional.empty());
+            return;
+        }
+        String proxy = anotherProxy(job.avoidedProxy());
+        int number = job.listener().onTry();
+        job.tried(proxy);
+        inFlight++;
+        Duration timeout = Duration.ofMillis(job.request().getTimeoutMs()).plus(NETWORK_ALLOWANCE);
+        port.execute(proxy, job.request(), timeout).whenComplete((response, error) -> {
+            Answer answer = error == null ? Answer.of(response) : Answer.of(FailureException.of(error));
+            onOwnThread.accept(() -> onAnswer(job, number, answer));
+        });
+    }
+
+    private void onAnswer(Job job, int number, Answer answer) {
+        inFlight--;
+        answer.failure().ifPresent(type -> refusals.merge(type, 1L, Long::sum));
+        job.listener().onAnswer(number, answer);
+        if (job.wantsAnotherTry(answer.effect())) {
+            retries.add(new Retry(nowUs.getAsLong() + pauseUs(job, answer), job));
+        } else {
+            job.listener().onEnd(job, Optional.of(answer));
+        }
+    }
+
+    private long pauseUs(Job job, Answer answer) {
+        if (answer.effect() == Effect.UNKNOWN) {
+            return FIRST_PAUSE_US;
+        }
+        long doubledUs = Math.min(LONGEST_PAUSE_US, FIRST_PAUSE_US << Math.min(job.triesMade() - 1, 10));
+        return Math.max(doubledUs, answer.retryAfter().toMillis() * US_PER_MS);
+    }
+
+    private String anotherProxy(String avoided) {
+        int at = random.nextInt(proxies.size());
+        if (proxies.get(at).equals(avoided)) {
+            at = (at + 1 + random.nextInt(proxies.size() - 1)) % proxies.size();
+        }
+        return proxies.get(at);
+    }
+
+    private record Retry(long dueUs, Job job) {}
+}
--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/LoadMain.java
@@ -0,0 +1,143 @@
+package org.hornbeamspread.load;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.runtime.CommandLine;
+import org.hornbeamspread.runtime.MonotonicClock;
+
+/** The binary hornbeamspread-load. */
+public final class LoadMain {
+    private static final String BINARY = "hornbeamspread-load";
+    private static final int EXIT_PASSED = 0;
+    private static final int EXIT_FAILED = 1;
+    private static final int URGENT = 0;
+    private static final int LEAST_URGENT = 2;
+    private static final Duration AUDIT_LIMIT = Duration.ofSeconds(60);
+
+    private LoadMain() {}
+
+    /** Runs a load; exits with 0 when every promise was kept, 1 when one was broken or not seen, 2 on a wrong flag. */
+    public static void main(String[] arguments) {
+        System.exit(run(System.getenv(), System.out, System.err, arguments));
+    }
+
+    /** Runs a load and returns the exit code. */
+    static int run(Map<String, String> environment, PrintStream out, PrintStream err, String... arguments) {
+        if (CommandLine.answered(BINARY, new LoadOptions(), out, arguments)) {
+            return EXIT_PASSED;
+        }
+        try {
+            LoadOptions options = CommandLine.parse(new LoadOptions(), environment, arguments);
+            LoadReport report = run(options, out);
+            out.print(ReportTable.render(report));
+            if (!options.report.isEmpty()) {
+                write(Path.of(options.report), ReportJson.render(report));
+            }
+            return report.passed() ? EXIT_PASSED : EXIT_FAILED;
+        } catch (FailureException e) {
+            err.println(BINARY + ": " + e.type() + ": " + e.getMessage());
+            return e.type() == FailureType.INVALID_SETTING ? CommandLine.EXIT_USAGE : EXIT_FAILED;
+        }
+    }
+
+    private static LoadReport run(LoadOptions options, PrintStream out) {
+        if (options.seconds < 1 || options.groups < 1) {
+            throw new FailureException(FailureType.INVALID_SETTING, "--seconds and --groups are at least 1");
+        }
+        Workload workload = Workload.of(options.user, options.groups);
+        ProxyPort port = HttpProxyPort.parse(options.proxies);
+        List<Arrival> schedule = ArrivalSchedule.of(workload, options.seconds, options.seed, floodRank(options.fault));
+        Clock clock = new MonotonicClock();
+        try (LoadRun run = new LoadRun(workload, port, schedule, options.seed, clock, progress(out))) {
+            if (!options.startFile.isEmpty()) {
+                write(Path.of(options.startFile), run.start().toEpochMilli() + "\n");
+            }
+            run.run();
+            return report(
+                    options, workload, run, audit(workload, port, run.callers().ledger(), clock));
+        }
+    }
+
+    /** Reads the rows and compares. */
+    static Audit.Result audit(Workload workload, ProxyPort port, Ledger ledger, Clock clock) {
+        return Audit.compare(ledger, new AuditReader(port, workload, clock).read(ledger, AUDIT_LIMIT));
+    }
+
+    private static Optional<Integer> floodRank(String fault) {
+        return switch (fault) {
+            case "flood-low" -> Optional.of(LEAST_URGENT);
+            case "flood-urgent" -> Optional.of(URGENT);
+            default -> Optional.empty();
+        };
+    }
+
+    private static java.util.function.BiConsumer<Integer, LoadRun> progress(PrintStream out) {
+        return (second, run) -> {
+            StringBuilder line = new StringBuilder("t=" + second + " s");
+            run.callers()
+                    .rankReports()
+                    .forEach(rank -> line.append("  " + rank.name() + " " + rank.served() + "/" + rank.offered()));
+            out.println(line.append("  in flight ").append(run.dispatcher().inFlight()));
+        };
+    }
+
+    private static LoadReport report(LoadOptions options, Workload workload, LoadRun run, Audit.Result audit) {
+        long endMs = run.nowUs() / 1_000;
+        long faultAtMs = faultTime(options.faultTimeFile) - run.start().toEpochMilli();
+        Map<String, Long> gaps = new HashMap<>();
+        run.callers().gaps().forEach((group, gap) -> gaps.put(group, gap.longestMs(Math.max(0, faultAtMs), endMs)));
+        List<String> affected =
+                options.affectedGroups.isEmpty() ? workload.groups() : List.of(options.affectedGroups.split(",", -1));
+        return new LoadReport(
+                new LoadReport.Trial(options.user, options.seed, options.fault, options.seconds),
+                audit,
+                run.callers().reads(),
+                gaps,
+                affected,
+                options.configurationInForceMs < 0
+                        ? OptionalLong.empty()
+                        : OptionalLong.of(options.configurationInForceMs),
+                OptionalLong.empty(),
+                run.callers().rankReports(),
+                run.dispatcher().refusals(),
+                run.dispatcher().notSent());
+    }
+
+    /** The time in the file in ms since 1970; 0 when there was no fault. */
+    private static long faultTime(String file) {
+        if (file.isEmpty() || !Files.exists(Path.of(file))) {
+            return 0;
+        }
+        try {
+            return Long.parseLong(Files.readString(Path.of(file)).strip());
+        } catch (IOException | NumberFormatException e) {
+            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "no time in " + file);
+            failure.initCause(e);
+            throw failure;
+        }
+    }
+
+    private static void write(Path file, String text) {
+        try {
+            if (file.getParent() != null) {
+                Files.createDirectories(file.getParent());
+            }
+            Files.writeString(file, text);
+        } catch (IOException e) {
+            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "can't write " + file);
+            failure.initCause(e);
+            throw failure;
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/LoadRun.java
@@ -0,0 +1,107 @@
+package org.hornbeamspread.load;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.runtime.DutyThread;
+
+/**
+ * Runs a schedule against the proxies. One thread holds the callers, the ledger and the counts; the answers come to it
+ * through a bounded ring, whose capacity exceeds the bound on requests in flight. Arrivals start at their intended
+ * time, whatever became of earlier ones.
+ */
+final class LoadRun implements AutoCloseable {
+    private static final int RING_EVENTS = 16_384;
+    private static final Duration TICK = Duration.ofMillis(1);
+    private static final Duration DRAIN_LIMIT = Duration.ofSeconds(30);
+
+    private final Clock clock;
+    private final DutyThread<Runnable> duty;
+    private final Dispatcher dispatcher;
+    private final CallerModel callers;
+    private final Deque<Arrival> schedule;
+    private final BiConsumer<Integer, LoadRun> progress;
+    private final CompletableFuture<Void> finished = new CompletableFuture<>();
+    private final Instant start;
+    private final long lastArrivalUs;
+    private int secondsReported;
+
+    /** Prepares a run that starts at once with {@link #run}; progress is called each second on the run's thread. */
+    LoadRun(
+            Workload workload,
+            ProxyPort port,
+            List<Arrival> schedule,
+            long seed,
+            Clock clock,
+            BiConsumer<Integer, LoadRun> progress) {
+        this.clock = clock;
+        this.schedule = new ArrayDeque<>(schedule);
+        this.progress = progress;
+        this.start = clock.instant();
+        this.lastArrivalUs =
+                schedule.isEmpty() ? 0 : schedule.get(schedule.size() - 1).atUs();
+        this.duty = new DutyThread<>("load", RING_EVENTS, Runnable::run, TICK, this::tick);
+        this.dispatcher = new Dispatcher(port, new SplittableRandom(seed), this::nowUs, this::enqueue);
+        this.callers = new CallerModel(workload, dispatcher, this::nowUs, seed);
+    }
+
+    /** Runs the schedule and waits for the last words, for a bounded time. */
+    void run() {
+        duty.start();
+        finished.join();
+    }
+
+    Instant start() {
+        return start;
+    }
+
+    CallerModel callers() {
+        return callers;
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    /** Time since the start. */
+    long nowUs() {
+        return ChronoUnit.MICROS.between(start, clock.instant());
+    }
+
+    @Override
+    public void close() {
+        duty.close();
+    }
+
+    private void enqueue(Runnable event) {
+        if (!duty.offer(event)) {
+            finished.completeExceptionally(new FailureException(FailureType.RING_FULL, "answers of the load tool"));
+        }
+    }
+
+    private void tick() {
+        long nowUs = nowUs();
+        while (!schedule.isEmpty() && schedule.peek().atUs() <= nowUs) {
+            callers.arrive(schedule.poll());
+        }
+        dispatcher.tick();
+        int second = (int) (nowUs / 1_000_000);
+        if (second > secondsReported) {
+            secondsReported = second;
+            progress.accept(second, this);
+        }
+        boolean drained = dispatcher.idle() || nowUs > lastArrivalUs + DRAIN_LIMIT.toNanos() / 1_000;
+        if (schedule.isEmpty() && drained) {
+            finished.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/ReportTable.java
@@ -0,0 +1,68 @@
+package org.hornbeamspread.load;
+
+import java.util.Locale;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+/** The report as text for a terminal. */
+final class ReportTable {
+    private static final String RANK_HEADING = "%-10s %8s %8s %8s %8s %10s %9s %9s%n";
+    private static final String RANK_LINE = "%-10s %8d %8d %8d %8d %9.2f%% %9.1f %9.1f%n";
+
+    private final StringBuilder text = new StringBuilder();
+
+    private ReportTable() {}
+
+    /** The text, ended by a line break. */
+    static String render(LoadReport report) {
+        ReportTable table = new ReportTable();
+        table.heading(report);
+        table.ranks(report);
+        table.promises(report);
+        return table.text.toString();
+    }
+
+    private void heading(LoadReport report) {
+        LoadReport.Trial trial = report.trial();
+        String verdict = report.passed() ? "passed" : "FAILED";
+        line("%n%s, fault %s, seed %d: %s%n%n", trial.user(), trial.fault(), trial.seed(), verdict);
+    }
+
+    private void ranks(LoadReport report) {
+        line(RANK_HEADING, "rank", "offered", "served", "refused", "unknown", "in target", "p50 ms", "p99 ms");
+        for (RankReport rank : report.ranks()) {
+            line(
+                    RANK_LINE,
+                    rank.name(),
+                    rank.offered(),
+                    rank.served(),
+                    rank.refusedNotRun(),
+                    rank.unknown(),
+                    rank.withinTargetShare() * 100,
+                    rank.p50Ms(),
+                    rank.p99Ms());
+        }
+    }
+
+    private void promises(LoadReport report) {
+        Audit.Result audit = report.audit();
+        ReadCounts reads = report.reads();
+        line("%nacknowledged %d, lost %d, doubled %d, ", audit.acknowledged(), audit.lost(), audit.doubled());
+        line("false not-run %d, unknown %d, ", audit.falseNotRun(), audit.unknown());
+        line("unaudited %d%n", audit.unaudited());
+        line("read-your-writes: %d violations in %d checks; ", reads.violations(), reads.checks());
+        line("reads %d, from replicas %.1f%%%n", reads.served(), reads.replicaShare() * 100);
+        line("failover gap %d ms %s; ", report.failoverGapMs(), new TreeMap<>(report.gapMsByGroup()));
+        line("configuration in force after %s ms; ", text(report.configurationInForceMs()));
+        line("between regions %s bytes%n", text(report.interRegionBytes()));
+        line("failed answers %s; not sent %d%n", new TreeMap<>(report.refusals()), report.notSent());
+    }
+
+    private void line(String format, Object... values) {
+        text.append(String.format(Locale.ROOT, format, values));
+    }
+
+    private static String text(OptionalLong value) {
+        return value.isPresent() ? Long.toString(value.getAsLong()) : "(not measured)";
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/Workload.java
@@ -0,0 +1,90 @@
+package org.hornbeamspread.load;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+
+/**
+ * The work of one user.
+ *
+ * @param user the user's short name
+ * @param service the service that is called
+ * @param groups the service's groups, in configuration order
+ * @param agents how many agents there are; each is one session and one routing key
+ * @param ranks the ranks, most urgent first: payments, session reads, and the nightly work
+ */
+record Workload(String user, String service, List<String> groups, int agents, List<RankPlan> ranks) {
+    private static final int AGENTS = 240;
+    private static final int URGENT_TARGET_MS = 300;
+    private static final int READ_TARGET_MS = 500;
+    private static final int NIGHTLY_TARGET_MS = 5_000;
+    private static final int URGENT_TIMEOUT_MS = 2_000;
+    private static final int READ_TIMEOUT_MS = 2_000;
+    private static final int NIGHTLY_TIMEOUT_MS = 6_000;
+    private static final int URGENT_TRIES = 10;
+    private static final int READ_TRIES = 3;
+    private static final int NIGHTLY_TRIES = 4;
+
+    Workload {
+        groups = List.copyOf(groups);
+        ranks = List.copyOf(ranks);
+    }
+
+    /** The workload of entoto or ujaas over a number of groups. Fails with INVALID_SETTING for another name. */
+    static Workload of(String user, int groupCount) {
+        List<String> groups =
+                IntStream.rangeClosed(1, groupCount).mapToObj(i -> "g" + i).toList();
+        return switch (user) {
+            case "entoto" ->
+                new Workload(
+                        user,
+                        "rental-core",
+                        groups,
+                        AGENTS,
+                        List.of(
+                                urgent(45, 500),
+                                reads("stock", 120),
+                                nightly("ledger", WorkKind.LEDGER_SCAN, 15, 600)));
+            case "ujaas" ->
+                new Workload(
+                        user,
+                        "ledger",
+                        groups,
+                        AGENTS,
+                        List.of(urgent(60, 500), reads("balance", 90), nightly("sync", WorkKind.SYNC_WRITE, 10, 400)));
+            default ->
+                throw new FailureException(FailureType.INVALID_SETTING, "--user is entoto or ujaas, not " + user);
+        };
+    }
+
+    private static RankPlan urgent(double perSecond, double floodPerSecond) {
+        return new RankPlan(
+                "urgent",
+                WorkKind.PAYMENT,
+                perSecond,
+                floodPerSecond,
+                URGENT_TARGET_MS,
+                URGENT_TIMEOUT_MS,
+                URGENT_TRIES);
+    }
+
+    private static RankPlan reads(String name, double perSecond) {
+        return new RankPlan(name, WorkKind.ROAMING_READ, perSecond, 0, READ_TARGET_MS, READ_TIMEOUT_MS, READ_TRIES);
+    }
+
+    private static RankPlan nightly(String name, WorkKind kind, double perSecond, double floodPerSecond) {
+        return new RankPlan(
+                name, kind, perSecond, floodPerSecond, NIGHTLY_TARGET_MS, NIGHTLY_TIMEOUT_MS, NIGHTLY_TRIES);
+    }
+
+    /** The rank of the payments. */
+    RankPlan urgentRank() {
+        return ranks.get(0);
+    }
+
+    /** The rank of the session reads. */
+    RankPlan readRank() {
+        return ranks.get(1);
+    }
+}
