--- a/load/src/main/java/org/hornbeamspread/load/LoadMain.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadMain.java
@@ -44,6 +44,11 @@
             if (!options.report.isEmpty()) {
                 write(Path.of(options.report), ReportJson.render(report));
             }
+            if (!options.page.isEmpty()) {
+                write(
+                        Path.of(options.page),
+                        ReportPage.render(report, report.trial().faultAtSeconds()));
+            }
             return report.passed() ? EXIT_PASSED : EXIT_FAILED;
         } catch (FailureException e) {
             err.println(BINARY + ": " + e.type() + ": " + e.getMessage());
@@ -100,7 +105,7 @@
         List<String> affected =
                 options.affectedGroups.isEmpty() ? workload.groups() : List.of(options.affectedGroups.split(",", -1));
         return new LoadReport(
-                new LoadReport.Trial(options.user, options.seed, options.fault, options.seconds),
+                new LoadReport.Trial(options.user, options.seed, options.fault, options.seconds, faultAtMs / 1_000.0),
                 audit,
                 run.callers().reads(),
                 gaps,
--- a/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
@@ -36,4 +36,7 @@
 
     @Option(name = "--report", metaVar = "FILE", usage = "where the JSON report goes")
     String report = "";
+
+    @Option(name = "--page", metaVar = "FILE", usage = "where the report as an HTML page with plots goes")
+    String page = "";
 }
--- a/load/src/main/java/org/hornbeamspread/load/LoadReport.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadReport.java
@@ -44,8 +44,9 @@
      * @param seed of the arrivals and of every choice
      * @param fault what was injected
      * @param seconds how long requests arrived
+     * @param faultAtSeconds when the fault came, since the start; negative for none
      */
-    record Trial(String user, long seed, String fault, int seconds) {}
+    record Trial(String user, long seed, String fault, int seconds, double faultAtSeconds) {}
 
     /** Whether every promise that the tool checks was kept. */
     boolean passed() {
--- a/load/src/test/java/org/hornbeamspread/load/AuditDetectionTest.java
+++ b/load/src/test/java/org/hornbeamspread/load/AuditDetectionTest.java
@@ -81,7 +81,7 @@
                 Audit.Result audit =
                         LoadMain.audit(workload, port, run.callers().ledger(), clock);
                 return new LoadReport(
-                        new LoadReport.Trial("test", SEED, "none", 0),
+                        new LoadReport.Trial("test", SEED, "none", 0, -1),
                         audit,
                         run.callers().reads(),
                         Map.of(),
