--- a/ctl/src/main/java/org/hornbeamspread/ctl/ConfigurationCommand.java
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/ConfigurationCommand.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.function.Predicate;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ApplyConfigurationRequest;
 import org.hornbeamspread.protocol.schema.ApplyConfigurationResponse;
 import org.hornbeamspread.protocol.schema.Configuration;
@@ -83,11 +85,19 @@
 
         @Override
         public void run(Session session) {
+            if (!requestId.isEmpty() && expectedVersion < 0) {
+                throw new FailureException(
+                        FailureType.INVALID_SETTING,
+                        "--request-id needs --expected-version, so that a resend is the same request");
+            }
             Configuration configuration = ConfigurationFile.read(Path.of(file));
             long expected = expectedVersion >= 0
                     ? expectedVersion
                     : session.configuration().getVersion();
             String id = Session.requestId(requestId);
+            if (!dryRun) {
+                session.announceChange("--expected-version " + expected + " --request-id " + id);
+            }
             Instant start = session.now();
             ApplyConfigurationResponse answer = apply(
                     session,
--- a/ctl/src/main/java/org/hornbeamspread/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/CtlMain.java
@@ -40,7 +40,7 @@
             Pause pause = Pause.blocking();
             ControlClient client =
                     new ControlClient(members(options.control), Duration.ofMillis(options.timeoutMs), clock, pause);
-            options.command.run(new Session(client, options.output, out, clock, pause));
+            options.command.run(new Session(client, options.output, out, err, clock, pause));
             return ExitCode.DONE;
         } catch (FailureException e) {
             err.println(BINARY + ": " + e.type() + ": " + e.getMessage());
--- a/ctl/src/main/java/org/hornbeamspread/ctl/Session.java
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/Session.java
@@ -25,13 +25,15 @@
     private final ControlClient client;
     private final OutputFormat format;
     private final PrintStream out;
+    private final PrintStream err;
     private final Clock clock;
     private final Pause pause;
 
-    Session(ControlClient client, OutputFormat format, PrintStream out, Clock clock, Pause pause) {
+    Session(ControlClient client, OutputFormat format, PrintStream out, PrintStream err, Clock clock, Pause pause) {
         this.client = client;
         this.format = format;
         this.out = out;
+        this.err = err;
         this.clock = clock;
         this.pause = pause;
     }
@@ -60,6 +62,11 @@
         }
     }
 
+    /** Says how a change is sent again should its answer get lost. */
+    void announceChange(String resendFlags) {
+        err.println("sending; should the answer get lost, send the same again with " + resendFlags);
+    }
+
     Configuration configuration() {
         return client.call(
                 "GetConfiguration",
@@ -93,6 +100,7 @@
 
     /** Sends a change and prints that it was done. */
     void change(String method, Message request, String requestId, String done) {
+        announceChange("--request-id " + requestId);
         OperationResponse answer =
                 client.call(method, request, OperationResponse.getDefaultInstance(), OperationResponse::getFailure);
         print(answer, new TextTable("RESULT", "REQUEST-ID", "REPLAYED").row(done, requestId, answer.getReplayed()));
--- a/ctl/src/test/java/org/hornbeamspread/ctl/CtlMainTest.java
+++ b/ctl/src/test/java/org/hornbeamspread/ctl/CtlMainTest.java
@@ -122,7 +122,13 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"fly,2", "configuration load /no/such/file,2", "departure sideways g1-a,2", "topology --fast,2"})
+    @CsvSource({
+        "fly,2",
+        "configuration load /no/such/file,2",
+        "departure sideways g1-a,2",
+        "topology --fast,2",
+        "configuration load ../examples/ujaas.json --request-id r1,2"
+    })
     void aWrongCommandSendsNothing(String command, int code) {
         assertThat(run(leader, command.split(" ", -1)).code()).isEqualTo(code);
         assertThat(applied).isEmpty();
