Load: a warm-up before the counted run

Cause: in a trial the first two seconds after the processes' start served late (compilation of cold code), which hid the steady state. The warm-up's payments are audited like all others; figures by rank leave them out.

--- a/load/src/main/java/org/hornbeamspread/load/Arrival.java
+++ b/load/src/main/java/org/hornbeamspread/load/Arrival.java
@@ -3,8 +3,13 @@
 /**
  * One request's intended start.
  *
- * @param atUs time since the start of the run
+ * @param atUs time since the start of the run; negative in the warm-up
  * @param rank index of the rank in the workload
  * @param flood whether a flood brought it
  */
-record Arrival(long atUs, int rank, boolean flood) {}
+record Arrival(long atUs, int rank, boolean flood) {
+    /** Whether it counts in the report's figures by rank; the ledger and the audit take in every payment. */
+    boolean counted() {
+        return atUs >= 0;
+    }
+}
--- a/load/src/main/java/org/hornbeamspread/load/ArrivalSchedule.java
+++ b/load/src/main/java/org/hornbeamspread/load/ArrivalSchedule.java
@@ -19,15 +19,17 @@
     /**
      * The arrivals in order of time. A flood lasts from one third to two thirds of the run.
      *
+     * @param warmUpSeconds how long ordinary requests arrive before the start, at negative times
      * @param floodRank the index of the rank that floods, or empty
      */
-    static List<Arrival> of(Workload workload, int seconds, long seed, Optional<Integer> floodRank) {
+    static List<Arrival> of(Workload workload, int warmUpSeconds, int seconds, long seed, Optional<Integer> floodRank) {
+        long warmUpUs = (long) (warmUpSeconds * US_PER_SECOND);
         long endUs = (long) (seconds * US_PER_SECOND);
         List<Arrival> arrivals = new ArrayList<>();
         SplittableRandom seeds = new SplittableRandom(seed);
         for (int rank = 0; rank < workload.ranks().size(); rank++) {
             RankPlan plan = workload.ranks().get(rank);
-            addStream(arrivals, seeds.split(), plan.arrivalsPerSecond(), 0, endUs, rank, false);
+            addStream(arrivals, seeds.split(), plan.arrivalsPerSecond(), -warmUpUs, endUs, rank, false);
             SplittableRandom floodRandom = seeds.split();
             if (floodRank.isPresent() && floodRank.get() == rank) {
                 addStream(arrivals, floodRandom, plan.floodArrivalsPerSecond(), endUs / 3, endUs * 2 / 3, rank, true);
--- a/load/src/main/java/org/hornbeamspread/load/CallerModel.java
+++ b/load/src/main/java/org/hornbeamspread/load/CallerModel.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.hornbeamspread.core.misc.Effect;
 import org.hornbeamspread.core.routing.GroupRouting;
+import org.hornbeamspread.protocol.schema.ExecuteRequest;
 import org.hornbeamspread.protocol.schema.ExecuteResponse;
 
 /**
@@ -87,7 +88,9 @@
         Payment payment = ledger.open(agent.agent() + ".p" + number, agent.agent(), 1 + random.nextInt(MAX_AMOUNT));
         boolean checked = !arrival.flood() || number % FLOOD_CHECK_EVERY == 0;
         FailoverGap gap = gaps.get(GroupRouting.groupOf(workload.groups(), agent.agent()));
-        gap.offered(arrival.atUs() / US_PER_MS);
+        if (arrival.counted()) {
+            gap.offered(arrival.atUs() / US_PER_MS);
+        }
         submit(rank, arrival, requests.payment(rank, payment, agent.token()), new Job.JobListener() {
             @Override
             public int onTry() {
@@ -101,12 +104,12 @@
 
             @Override
             public void onEnd(Job job, Optional<Answer> last) {
-                long nowMs = nowUs.getAsLong() / US_PER_MS;
+                if (arrival.counted()) {
+                    gap.ended(nowUs.getAsLong() / US_PER_MS, job.lastWord());
+                }
                 if (job.lastWord() != Effect.DONE) {
-                    gap.givenUp(nowMs);
                     return;
                 }
-                gap.acknowledged(nowMs);
                 ExecuteResponse response = last.orElseThrow().response().orElseThrow();
                 agent.onPayment(payment, response);
                 if (checked) {
@@ -124,7 +127,7 @@
             public void onEnd(Job job, Optional<Answer> last) {
                 done(last).ifPresent(response -> {
                     agent.onRead(epoch, response);
-                    reads.served(response);
+                    served(job, response);
                     if (mustSee.isPresent()) {
                         reads.checked(Requests.number(response, 1) > 0);
                     }
@@ -144,29 +147,27 @@
         return new Job.JobListener() {
             @Override
             public void onEnd(Job job, Optional<Answer> last) {
-                done(last).ifPresent(reads::served);
+                done(last).ifPresent(response -> served(job, response));
             }
         };
     }
 
+    private void served(Job job, ExecuteResponse response) {
+        if (job.intendedUs() >= 0) {
+            reads.served(response);
+        }
+    }
+
     private static Optional<ExecuteResponse> done(Optional<Answer> last) {
         return last.filter(answer -> answer.effect() == Effect.DONE).flatMap(Answer::response);
     }
 
-    private void submit(
-            RankPlan rank,
-            Arrival arrival,
-            org.hornbeamspread.protocol.schema.ExecuteRequest request,
-            Job.JobListener listener) {
+    private void submit(RankPlan rank, Arrival arrival, ExecuteRequest request, Job.JobListener listener) {
         submit(rank, arrival, request, "", listener);
     }
 
     private void submit(
-            RankPlan rank,
-            Arrival arrival,
-            org.hornbeamspread.protocol.schema.ExecuteRequest request,
-            String avoidedProxy,
-            Job.JobListener listener) {
+            RankPlan rank, Arrival arrival, ExecuteRequest request, String avoidedProxy, Job.JobListener listener) {
         RankStatistics counts = statistics.get(arrival.rank());
         counts.offered(arrival.atUs());
         Job.JobListener counting = new Job.JobListener() {
--- a/load/src/main/java/org/hornbeamspread/load/FailoverGap.java
+++ b/load/src/main/java/org/hornbeamspread/load/FailoverGap.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import org.hornbeamspread.core.misc.Effect;
 
 /**
  * The failover gap of one group: the longest span in which urgent writes were offered and none was acknowledged.
@@ -19,14 +20,9 @@
         events.add(new Event(atMs, Kind.OFFERED));
     }
 
-    /** Notes its acknowledgement. */
-    void acknowledged(long atMs) {
-        events.add(new Event(atMs, Kind.ACKNOWLEDGED));
-    }
-
-    /** Notes that it was given up. */
-    void givenUp(long atMs) {
-        events.add(new Event(atMs, Kind.GIVEN_UP));
+    /** Notes its acknowledgement, or that it was given up. */
+    void ended(long atMs, Effect lastWord) {
+        events.add(new Event(atMs, lastWord == Effect.DONE ? Kind.ACKNOWLEDGED : Kind.GIVEN_UP));
     }
 
     /** The longest span that ends after the fault. */
--- a/load/src/main/java/org/hornbeamspread/load/LoadMain.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadMain.java
@@ -57,14 +57,23 @@
     }
 
     private static LoadReport run(LoadOptions options, PrintStream out) {
-        if (options.seconds < 1 || options.groups < 1) {
-            throw new FailureException(FailureType.INVALID_SETTING, "--seconds and --groups are at least 1");
+        if (options.seconds < 1 || options.groups < 1 || options.warmUpSeconds < 0) {
+            throw new FailureException(
+                    FailureType.INVALID_SETTING, "--seconds and --groups are at least 1, --warm-up-seconds at least 0");
         }
         Workload workload = Workload.of(options.user, options.groups);
         ProxyPort port = HttpProxyPort.parse(options.proxies);
-        List<Arrival> schedule = ArrivalSchedule.of(workload, options.seconds, options.seed, floodRank(options.fault));
+        List<Arrival> schedule = ArrivalSchedule.of(
+                workload, options.warmUpSeconds, options.seconds, options.seed, floodRank(options.fault));
         Clock clock = new MonotonicClock();
-        try (LoadRun run = new LoadRun(workload, port, schedule, options.seed, clock, progress(out))) {
+        try (LoadRun run = new LoadRun(
+                workload,
+                port,
+                schedule,
+                options.seed,
+                Duration.ofSeconds(options.warmUpSeconds),
+                clock,
+                progress(out))) {
             if (!options.startFile.isEmpty()) {
                 write(Path.of(options.startFile), run.start().toEpochMilli() + "\n");
             }
--- a/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
@@ -16,6 +16,9 @@
     @Option(name = "--seconds", usage = "how long requests arrive")
     int seconds = 20;
 
+    @Option(name = "--warm-up-seconds", usage = "requests before the start, audited but not counted by rank")
+    int warmUpSeconds = 5;
+
     @Option(name = "--seed", usage = "fixes the arrivals and every choice")
     long seed = 1;
 
--- a/load/src/main/java/org/hornbeamspread/load/LoadRun.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadRun.java
@@ -35,18 +35,19 @@
     private final long lastArrivalUs;
     private int secondsReported;
 
-    /** Prepares a run that starts at once with {@link #run}; progress is called each second on the run's thread. */
+    /** Prepares a run whose warm-up starts at once; progress is called each second on the run's thread. */
     LoadRun(
             Workload workload,
             ProxyPort port,
             List<Arrival> schedule,
             long seed,
+            Duration warmUp,
             Clock clock,
             BiConsumer<Integer, LoadRun> progress) {
         this.clock = clock;
         this.schedule = new ArrayDeque<>(schedule);
         this.progress = progress;
-        this.start = clock.instant();
+        this.start = clock.instant().plus(warmUp);
         this.lastArrivalUs =
                 schedule.isEmpty() ? 0 : schedule.get(schedule.size() - 1).atUs();
         this.duty = new DutyThread<>("load", RING_EVENTS, Runnable::run, TICK, this::tick);
@@ -72,7 +73,7 @@
         return dispatcher;
     }
 
-    /** Time since the start. */
+    /** Time since the start; negative in the warm-up. */
     long nowUs() {
         return ChronoUnit.MICROS.between(start, clock.instant());
     }
@@ -94,13 +95,13 @@
             callers.arrive(schedule.poll());
         }
         dispatcher.tick();
-        int second = (int) (nowUs / 1_000_000);
+        int second = (int) Math.floorDiv(nowUs, 1_000_000L);
         if (second > secondsReported) {
             secondsReported = second;
             progress.accept(second, this);
         }
         boolean drained = dispatcher.idle() || nowUs > lastArrivalUs + DRAIN_LIMIT.toNanos() / 1_000;
-        if (schedule.isEmpty() && drained) {
+        if (schedule.isEmpty() && nowUs >= 0 && drained) {
             finished.complete(null);
         }
     }
--- a/load/src/main/java/org/hornbeamspread/load/RankStatistics.java
+++ b/load/src/main/java/org/hornbeamspread/load/RankStatistics.java
@@ -24,14 +24,20 @@
         this.plan = plan;
     }
 
-    /** Counts a request at its intended start. */
+    /** Counts a request at its intended start; one of the warm-up is passed over. */
     void offered(long atUs) {
+        if (atUs < 0) {
+            return;
+        }
         offered++;
         second(atUs).offered++;
     }
 
     /** Counts a request's last word. */
     void ended(long intendedUs, long nowUs, Effect lastWord) {
+        if (intendedUs < 0) {
+            return;
+        }
         long latencyUs = Math.max(0, nowUs - intendedUs);
         switch (lastWord) {
             case DONE -> {
