--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupInput.java
@@ -0,0 +1,52 @@
+package org.hornbeamspread.core.failover;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.hornbeamspread.core.membership.DatabaseStatus;
+
+/**
+ * All that a group's failover decides from.
+ *
+ * @param record the group's record in the control log
+ * @param declaredDatabases how many databases the configuration declares
+ * @param statuses the latest status of each announced database of the group
+ * @param registrations the members as the log holds them, by name
+ * @param suspected the databases that are taken for lost
+ * @param departing the databases that should hold no office
+ * @param oldLeasesOver whether no proxy acts on a view older than the one that shows the record's term
+ */
+public record GroupInput(
+        GroupRecord record,
+        int declaredDatabases,
+        List<DatabaseStatus> statuses,
+        Map<String, Registration> registrations,
+        Set<String> suspected,
+        Set<String> departing,
+        BooleanSupplier oldLeasesOver) {
+    /** The latest status of the record's primary, if it is a member and announced. */
+    public Optional<DatabaseStatus> primary() {
+        return record.primaryId().flatMap(this::member);
+    }
+
+    /** The latest status of a member. */
+    public Optional<DatabaseStatus> member(String databaseId) {
+        return members().stream()
+                .filter(status -> status.databaseId().equals(databaseId))
+                .findFirst();
+    }
+
+    /** The latest statuses of those databases that the log holds as members. */
+    public List<DatabaseStatus> members() {
+        return statuses.stream()
+                .filter(status -> registrations.containsKey(status.databaseId()))
+                .toList();
+    }
+
+    /** What the log holds of a database. */
+    public Optional<Registration> registration(String databaseId) {
+        return Optional.ofNullable(registrations.get(databaseId));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/membership/DatabaseRegistry.java
@@ -0,0 +1,156 @@
+package org.hornbeamspread.core.membership;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * The databases that announce themselves. This is soft state: nothing is stored, each announcement renews an entry, and
+ * an entry that is not renewed first counts as unreachable and later expires. Of two processes with the same name the
+ * one with the higher incarnation wins. Confined to one thread.
+ */
+public final class DatabaseRegistry {
+    private final Clock clock;
+    private final Duration reachableFor;
+    private final Duration expiry;
+    private final Map<String, Entry> databases = new HashMap<>();
+
+    /** The names by group, sorted. */
+    private final Map<String, TreeMap<String, Entry>> groups = new HashMap<>();
+
+    /** Announcements of an incarnation that a later one has replaced. */
+    private long refusedAnnouncements;
+
+    /**
+     * Makes an empty registry.
+     *
+     * @param reachableFor how long after its last sign of life a database counts as reachable
+     * @param expiry how long after it the entry is forgotten
+     */
+    public DatabaseRegistry(Clock clock, Duration reachableFor, Duration expiry) {
+        this.clock = clock;
+        this.reachableFor = reachableFor;
+        this.expiry = expiry;
+    }
+
+    /** Takes an announcement in. Returns the groups whose description changed by it. */
+    public Set<String> announce(AnnouncedDatabase announced) {
+        Entry known = databases.get(announced.databaseId());
+        if (known != null
+                && announced.status().incarnation()
+                        < known.database.status().incarnation()) {
+            refusedAnnouncements++;
+            return Set.of();
+        }
+        if (known != null && known.database.group().equals(announced.group())) {
+            return refresh(known, announced);
+        }
+        Set<String> changed = new HashSet<>();
+        if (known != null) {
+            remove(known);
+            changed.add(known.database.group());
+        }
+        Entry entry = new Entry(announced, clock.instant());
+        databases.put(announced.databaseId(), entry);
+        groups.computeIfAbsent(announced.group(), name -> new TreeMap<>()).put(announced.databaseId(), entry);
+        changed.add(announced.group());
+        return changed;
+    }
+
+    /** Takes in a status that came by another way than an announcement, for example with the answer to a fence. */
+    public void report(DatabaseStatus status) {
+        Entry known = databases.get(status.databaseId());
+        if (known != null && status.supersedes(known.database.status())) {
+            known.database = known.database.withStatus(status);
+            known.heardAt = clock.instant();
+        }
+    }
+
+    /** Marks silent databases unreachable and forgets expired ones. Returns the groups that changed. */
+    public Set<String> expire() {
+        Instant now = clock.instant();
+        Set<String> changed = new HashSet<>();
+        List<Entry> expired = new ArrayList<>();
+        for (Entry entry : databases.values()) {
+            if (entry.reachable && now.isAfter(entry.heardAt.plus(reachableFor))) {
+                entry.reachable = false;
+                changed.add(entry.database.group());
+            }
+            if (now.isAfter(entry.heardAt.plus(expiry))) {
+                expired.add(entry);
+                changed.add(entry.database.group());
+            }
+        }
+        expired.forEach(this::remove);
+        return changed;
+    }
+
+    /** The last announcement of a database, if it has not expired. */
+    public Optional<AnnouncedDatabase> find(String databaseId) {
+        return Optional.ofNullable(databases.get(databaseId)).map(entry -> entry.database);
+    }
+
+    /** Whether the database gave a sign of life lately. */
+    public boolean isReachable(String databaseId) {
+        Entry entry = databases.get(databaseId);
+        return entry != null && entry.reachable;
+    }
+
+    /** The databases of a group, sorted by name. */
+    public List<AnnouncedDatabase> ofGroup(String group) {
+        Collection<Entry> entries =
+                groups.getOrDefault(group, new TreeMap<>()).values();
+        return entries.stream().map(entry -> entry.database).toList();
+    }
+
+    /** The names of all databases. */
+    public Set<String> databaseIds() {
+        return Collections.unmodifiableSet(databases.keySet());
+    }
+
+    /** How many announcements came from replaced incarnations. */
+    public long refusedAnnouncements() {
+        return refusedAnnouncements;
+    }
+
+    private Set<String> refresh(Entry known, AnnouncedDatabase announced) {
+        boolean current = announced.status().supersedes(known.database.status());
+        AnnouncedDatabase next = current ? announced : announced.withStatus(known.database.status());
+        boolean changed = !known.reachable || !known.database.describesSame(next);
+        known.database = next;
+        known.heardAt = clock.instant();
+        known.reachable = true;
+        return changed ? Set.of(announced.group()) : Set.of();
+    }
+
+    private void remove(Entry entry) {
+        databases.remove(entry.database.databaseId());
+        TreeMap<String, Entry> group = groups.get(entry.database.group());
+        group.remove(entry.database.databaseId());
+        if (group.isEmpty()) {
+            groups.remove(entry.database.group());
+        }
+    }
+
+    /** One database and when it was last heard. */
+    private static final class Entry {
+        private AnnouncedDatabase database;
+        private Instant heardAt;
+        private boolean reachable = true;
+
+        Entry(AnnouncedDatabase database, Instant heardAt) {
+            this.database = database;
+            this.heardAt = heardAt;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Who takes part: announced databases, living proxies, and which proxy holds which database. */
+package org.hornbeamspread.core.membership;
