Control: registry, holders, view leases, promotions, operators' calls

Cause: the control leader has to promote, assign holders and lease the view. RenewView carries the databases that a proxy holds, so that a new leader leaves them with it. Ruled out: a lease test by the latest lease of a proxy, which never ends when only its answers are lost. Conclusion: a fresh group gets a writable primary in the paused-clock fixture; the log service is still a stub here.

--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/failover/ControlEvent.java
@@ -0,0 +1,69 @@
+package org.hornbeamspread.control.failover;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.hornbeamspread.control.Leadership;
+import org.hornbeamspread.core.membership.DatabaseStatus;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.protocol.schema.Announce;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.RenewView;
+import org.hornbeamspread.protocol.schema.Topology;
+import org.hornbeamspread.transport.PeerConnection;
+
+/** What the coordinator's thread is told. */
+sealed interface ControlEvent {
+    /** A database announced itself. */
+    record Announced(Announce announce) implements ControlEvent {}
+
+    /** A proxy asks for a lease. */
+    record Renewal(RenewView request, Instant arrivedAt, PeerConnection connection, Consumer<Envelope> answer)
+            implements ControlEvent {}
+
+    /** A majority confirmed, or not, that the leader of this term led after these renewals had arrived. */
+    record LeadershipChecked(long leaderTerm, boolean confirmed, List<Renewal> renewals) implements ControlEvent {
+        /** Keeps a copy. */
+        public LeadershipChecked {
+            renewals = List.copyOf(renewals);
+        }
+    }
+
+    /** The control log has another leader. */
+    record LeadershipChanged(Leadership leadership) implements ControlEvent {}
+
+    /** An append of the leader's of this term ended, for these groups. */
+    record ProposalEnded(long leaderTerm, List<String> groups) implements ControlEvent {
+        /** Keeps a copy. */
+        public ProposalEnded {
+            groups = List.copyOf(groups);
+        }
+    }
+
+    /** A database reported its status in answer to a command. */
+    record Reported(DatabaseStatus status) implements ControlEvent {}
+
+    /** A database became primary. */
+    record BecamePrimary(String databaseId, long incarnation, long term, LogPosition marker) implements ControlEvent {}
+
+    /** A database refused to become primary. */
+    record PromoteRefused(String group, long term) implements ControlEvent {}
+
+    /** A database follows the primary of a term. */
+    record Followed(String group, DatabaseStatus status, long term) implements ControlEvent {}
+
+    /** A database's address refuses connections, or the connection that it announced itself on broke. */
+    record Refused(String databaseId) implements ControlEvent {}
+
+    /** The connection that a database announced itself on was closed. */
+    record AnnouncerClosed(String databaseId) implements ControlEvent {}
+
+    /** An operator asks for the topology. */
+    record TopologyAsked(CompletableFuture<Topology> answer) implements ControlEvent {}
+
+    /** An operator asks for another primary. */
+    record HandoverAsked(String group, Optional<String> databaseId, CompletableFuture<Void> answer)
+            implements ControlEvent {}
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/failover/ControlMetrics.java
@@ -0,0 +1,127 @@
+package org.hornbeamspread.control.failover;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.hornbeamspread.core.failover.FailoverListener;
+import org.hornbeamspread.core.failover.PromotionReason;
+import org.hornbeamspread.core.misc.FailureType;
+
+/** Counters of the coordinator, and lines for changes of a group's primary. Safe for any thread. */
+public final class ControlMetrics implements FailoverListener {
+    private static final Logger LOG = System.getLogger(ControlMetrics.class.getName());
+    private static final double[] STEP_BOUNDS_SECONDS = {0.01, 0.03, 0.1, 0.3, 0.6, 1, 1.5, 2, 3, 6, 12};
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private final Counter promotions;
+    private final Counter refusals;
+    private final Counter commands;
+    private final Counter renewals;
+    private final Counter entriesSetAside;
+    private final Histogram steps;
+    private final Gauge leading;
+    private final Gauge livingProxies;
+    private final Gauge viewVersion;
+
+    /** Registers everything. */
+    public ControlMetrics(PrometheusRegistry registry) {
+        promotions = Counter.builder()
+                .name("hornbeamspread_control_promotions_total")
+                .help("Promotions started, by reason")
+                .labelNames("type")
+                .register(registry);
+        refusals = Counter.builder()
+                .name("hornbeamspread_control_refusals_total")
+                .help("Requests refused and commands that failed, by failure type")
+                .labelNames("type")
+                .register(registry);
+        commands = Counter.builder()
+                .name("hornbeamspread_control_database_commands_total")
+                .help("Commands sent to databases, by kind")
+                .labelNames("type")
+                .register(registry);
+        renewals = Counter.builder()
+                .name("hornbeamspread_control_leases_granted_total")
+                .help("View leases granted, by full view or delta")
+                .labelNames("type")
+                .register(registry);
+        entriesSetAside = Counter.builder()
+                .name("hornbeamspread_control_entries_set_aside_total")
+                .help("Unacknowledged log entries that followers set aside")
+                .register(registry);
+        steps = Histogram.builder()
+                .name("hornbeamspread_control_failover_seconds")
+                .help("Time from the start of a promotion to the end of each step; detect: silence before the start")
+                .labelNames("step")
+                .classicOnly()
+                .classicUpperBounds(STEP_BOUNDS_SECONDS)
+                .register(registry);
+        leading = gauge(registry, "hornbeamspread_control_leading", "1 while this member leads");
+        livingProxies = gauge(registry, "hornbeamspread_control_living_proxies", "Proxies with a running lease");
+        viewVersion = gauge(registry, "hornbeamspread_control_view_version", "Version of the published view");
+    }
+
+    /** A request was refused or a command failed. */
+    public void refused(FailureType type) {
+        refusals.labelValues(type.name()).inc();
+    }
+
+    @Override
+    public void started(String group, long term, PromotionReason reason, long silenceMs) {
+        promotions.labelValues(reason.name()).inc();
+        steps.labelValues("detect").observe(silenceMs / MILLIS_PER_SECOND);
+        LOG.log(Level.INFO, "group {0}: promotion to term {1}, {2}, silence {3} ms", group, term, reason, silenceMs);
+    }
+
+    @Override
+    public void chosen(String group, long term, String databaseId, long sinceStartMs) {
+        step("fence", sinceStartMs);
+        LOG.log(Level.INFO, "group {0}: {1} chosen at term {2} after {3} ms", group, databaseId, term, sinceStartMs);
+    }
+
+    @Override
+    public void promoted(String group, long term, long sinceStartMs) {
+        step("promote", sinceStartMs);
+        LOG.log(Level.INFO, "group {0}: promoted at term {1} after {2} ms", group, term, sinceStartMs);
+    }
+
+    @Override
+    public void leasesOver(String group, long term, long sinceStartMs) {
+        step("lease wait", sinceStartMs);
+    }
+
+    @Override
+    public void opened(String group, long term, long sinceStartMs) {
+        step("open", sinceStartMs);
+        LOG.log(Level.INFO, "group {0}: writable at term {1} after {2} ms", group, term, sinceStartMs);
+    }
+
+    void commandSent(String kind) {
+        commands.labelValues(kind).inc();
+    }
+
+    void leaseGranted(boolean full) {
+        renewals.labelValues(full ? "full" : "delta").inc();
+    }
+
+    void setAside(int entries) {
+        entriesSetAside.inc(entries);
+    }
+
+    void state(boolean isLeading, int proxies, long version) {
+        leading.set(isLeading ? 1 : 0);
+        livingProxies.set(proxies);
+        viewVersion.set((double) version);
+    }
+
+    private void step(String name, long sinceStartMs) {
+        steps.labelValues(name).observe(sinceStartMs / MILLIS_PER_SECOND);
+    }
+
+    private static Gauge gauge(PrometheusRegistry registry, String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/failover/DatabaseClients.java
@@ -0,0 +1,173 @@
+package org.hornbeamspread.control.failover;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.hornbeamspread.control.view.ViewMessages;
+import org.hornbeamspread.core.failover.FailoverEffect;
+import org.hornbeamspread.core.membership.AnnouncedDatabase;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.Fence;
+import org.hornbeamspread.protocol.schema.Follow;
+import org.hornbeamspread.protocol.schema.Following;
+import org.hornbeamspread.protocol.schema.Promote;
+import org.hornbeamspread.protocol.schema.Readmit;
+import org.hornbeamspread.protocol.schema.Subscribe;
+import org.hornbeamspread.transport.Envelopes;
+import org.hornbeamspread.transport.PeerConnection;
+import org.hornbeamspread.transport.PeerHandler;
+import org.hornbeamspread.transport.PeerTransport;
+
+/**
+ * Administrative connections to databases, one for each address, and the commands that go over them. What comes back is
+ * handed to the coordinator as events. Safe for any thread.
+ */
+final class DatabaseClients {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration COMMAND_TIMEOUT = Duration.ofSeconds(1);
+
+    /** So long that no report is pushed between changes. */
+    private static final int NO_HEARTBEAT_MS = 3_600_000;
+
+    private final PeerTransport transport;
+    private final Consumer<ControlEvent> events;
+    private final ControlMetrics metrics;
+    private final Map<Endpoint, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
+
+    DatabaseClients(PeerTransport transport, Consumer<ControlEvent> events, ControlMetrics metrics) {
+        this.transport = transport;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    /** Raises a database's term. */
+    void fence(AnnouncedDatabase database, long term) {
+        Envelope request =
+                Envelope.newBuilder().setFence(Fence.newBuilder().setTerm(term)).build();
+        send("fence", database, request).whenComplete((answer, error) -> {
+            if (error == null) {
+                events.accept(new ControlEvent.Reported(
+                        ViewMessages.status(answer.getFenced().getReport())));
+            } else if (failed(database, error) == FailureType.WRONG_TERM) {
+                probe(database);
+            }
+        });
+    }
+
+    /** Makes a fenced database primary. */
+    void promote(AnnouncedDatabase database, long term) {
+        Envelope request = Envelope.newBuilder()
+                .setPromote(Promote.newBuilder().setTerm(term))
+                .build();
+        send("promote", database, request).whenComplete((answer, error) -> {
+            if (error == null) {
+                events.accept(new ControlEvent.BecamePrimary(
+                        database.databaseId(),
+                        database.status().incarnation(),
+                        term,
+                        Envelopes.position(answer.getPromoted().getMarker())));
+            } else if (failed(database, error) == FailureType.WRONG_TERM) {
+                events.accept(new ControlEvent.PromoteRefused(database.group(), term));
+            }
+        });
+    }
+
+    /** Makes a database a replica. */
+    void follow(AnnouncedDatabase database, long term, AnnouncedDatabase primary) {
+        Envelope request = Envelope.newBuilder()
+                .setFollow(Follow.newBuilder()
+                        .setTerm(term)
+                        .setPrimaryId(primary.databaseId())
+                        .setPrimary(ViewMessages.wire(primary.address())))
+                .build();
+        send("follow", database, request).whenComplete((answer, error) -> {
+            if (error == null) {
+                Following following = answer.getFollowing();
+                metrics.setAside(following.getEntriesSetAside());
+                events.accept(
+                        new ControlEvent.Followed(database.group(), ViewMessages.status(following.getReport()), term));
+            } else {
+                failed(database, error);
+            }
+        });
+    }
+
+    /** Tells a database that it counts again. */
+    void readmit(AnnouncedDatabase database, FailoverEffect.Readmit readmit) {
+        Envelope request = Envelope.newBuilder()
+                .setReadmit(Readmit.newBuilder().setTerm(readmit.term()).setIncarnation(readmit.incarnation()))
+                .build();
+        send("readmit", database, request).whenComplete((answer, error) -> {
+            if (error == null) {
+                probe(database);
+            } else {
+                failed(database, error);
+            }
+        });
+    }
+
+    /** Asks a database for its status over a connection of its own; one that is refused at once tells that it is gone. */
+    void probe(AnnouncedDatabase database) {
+        Envelope request = Envelope.newBuilder()
+                .setSubscribe(Subscribe.newBuilder().setHeartbeatMs(NO_HEARTBEAT_MS))
+                .build();
+        PeerHandler handler = (connection, frame, answer) -> refuseRequest(answer);
+        metrics.commandSent("probe");
+        long startedNs = System.nanoTime();
+        transport
+                .connect(ViewMessages.wire(database.address()), CONNECT_TIMEOUT, handler)
+                .thenCompose(connection -> connection
+                        .request(request, COMMAND_TIMEOUT)
+                        .whenComplete((answer, error) -> connection.close()))
+                .whenComplete((answer, error) -> {
+                    if (error == null) {
+                        events.accept(new ControlEvent.Reported(
+                                ViewMessages.status(answer.getSubscribed().getReport())));
+                    } else {
+                        boolean atOnce = System.nanoTime() - startedNs < CONNECT_TIMEOUT.toNanos();
+                        if (failed(database, error) == FailureType.CONNECTION_REFUSED && atOnce) {
+                            events.accept(new ControlEvent.Refused(database.databaseId()));
+                        }
+                    }
+                });
+    }
+
+    private CompletableFuture<Envelope> send(String kind, AnnouncedDatabase database, Envelope request) {
+        metrics.commandSent(kind);
+        return connection(ViewMessages.wire(database.address()))
+                .thenCompose(connection -> connection.request(request, COMMAND_TIMEOUT));
+    }
+
+    private CompletableFuture<PeerConnection> connection(Endpoint endpoint) {
+        CompletableFuture<PeerConnection> known = connections.get(endpoint);
+        boolean usable = known != null
+                && !known.isCompletedExceptionally()
+                && (!known.isDone() || known.join().isOpen());
+        if (usable) {
+            return known;
+        }
+        PeerHandler handler = (connection, request, answer) -> refuseRequest(answer);
+        CompletableFuture<PeerConnection> opened = transport.connect(endpoint, CONNECT_TIMEOUT, handler);
+        connections.put(endpoint, opened);
+        return opened;
+    }
+
+    private FailureType failed(AnnouncedDatabase database, Throwable error) {
+        FailureType type = FailureException.of(error).type();
+        metrics.refused(type);
+        if (type == FailureType.CONNECTION_REFUSED) {
+            connections.remove(ViewMessages.wire(database.address()));
+        }
+        return type;
+    }
+
+    private static void refuseRequest(Consumer<Envelope> answer) {
+        answer.accept(Envelopes.failureEnvelope(
+                new FailureException(FailureType.INVALID_REQUEST, "control answers no requests here")));
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/failover/ProposalSender.java
@@ -0,0 +1,81 @@
+package org.hornbeamspread.control.failover;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.hornbeamspread.control.CommandResult;
+import org.hornbeamspread.control.ReplicatedLog;
+import org.hornbeamspread.control.view.ViewMessages;
+import org.hornbeamspread.core.failover.FailoverEffect.AppendRecord;
+import org.hornbeamspread.core.failover.FailoverEffect.AppendRegistrations;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.RegisterDatabases;
+import org.hornbeamspread.protocol.schema.SetGroupTerms;
+
+/**
+ * Gathers the appends of one step of all groups into one log record of each kind, so that the loss of a failure domain
+ * costs few records. Confined to the coordinator's thread.
+ */
+final class ProposalSender {
+    private final ReplicatedLog log;
+    private final Clock clock;
+    private final Consumer<ControlEvent> events;
+    private final ControlMetrics metrics;
+    private SetGroupTerms.Builder terms = SetGroupTerms.newBuilder();
+    private RegisterDatabases.Builder registrations = RegisterDatabases.newBuilder();
+    private List<String> termGroups = new ArrayList<>();
+    private List<String> registrationGroups = new ArrayList<>();
+
+    ProposalSender(ReplicatedLog log, Clock clock, Consumer<ControlEvent> events, ControlMetrics metrics) {
+        this.log = log;
+        this.clock = clock;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    void add(AppendRecord append) {
+        terms.addGroups(ViewMessages.wire(append.next(), append.expectedTerm()));
+        termGroups.add(append.next().group());
+    }
+
+    void add(String group, AppendRegistrations append) {
+        append.registrations()
+                .forEach(registration -> registrations.addDatabases(ViewMessages.wire(registration, group)));
+        registrationGroups.add(group);
+    }
+
+    /** Sends what was gathered; ProposalEnded tells when it is done, in whatever way. */
+    void flush(long leaderTerm) {
+        if (!registrationGroups.isEmpty()) {
+            propose(command().setRegisterDatabases(registrations), leaderTerm, registrationGroups);
+            registrations = RegisterDatabases.newBuilder();
+            registrationGroups = new ArrayList<>();
+        }
+        if (!termGroups.isEmpty()) {
+            propose(command().setSetGroupTerms(terms), leaderTerm, termGroups);
+            terms = SetGroupTerms.newBuilder();
+            termGroups = new ArrayList<>();
+        }
+    }
+
+    private ControlCommand.Builder command() {
+        return ControlCommand.newBuilder().setProposedAtMs(clock.millis());
+    }
+
+    private void propose(ControlCommand.Builder command, long leaderTerm, List<String> groups) {
+        log.propose(command.build()).whenComplete((result, error) -> {
+            count(result, error);
+            events.accept(new ControlEvent.ProposalEnded(leaderTerm, groups));
+        });
+    }
+
+    private void count(CommandResult result, Throwable error) {
+        if (error != null) {
+            metrics.refused(FailureException.of(error).type());
+        } else {
+            result.failure().ifPresent(failure -> metrics.refused(failure.type()));
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/operations/PublishedState.java
@@ -0,0 +1,49 @@
+package org.hornbeamspread.control.operations;
+
+import com.google.protobuf.ByteString;
+import java.util.function.Supplier;
+import org.hornbeamspread.control.CommandResult;
+import org.hornbeamspread.control.StateMachine;
+import org.hornbeamspread.protocol.schema.ControlRecord;
+import org.hornbeamspread.protocol.schema.ControlState;
+
+/** Lets every thread read the latest state that a state machine has applied. */
+public final class PublishedState implements StateMachine, Supplier<ControlState> {
+    private final StateMachine machine;
+    private final Supplier<ControlState> snapshot;
+    private volatile ControlState latest;
+
+    /**
+     * Wraps a state machine.
+     *
+     * @param snapshot its state as an immutable message; called on the consensus thread only
+     */
+    public PublishedState(StateMachine machine, Supplier<ControlState> snapshot) {
+        this.machine = machine;
+        this.snapshot = snapshot;
+        this.latest = snapshot.get();
+    }
+
+    @Override
+    public ControlState get() {
+        return latest;
+    }
+
+    @Override
+    public CommandResult apply(ControlRecord record) {
+        CommandResult result = machine.apply(record);
+        latest = snapshot.get();
+        return result;
+    }
+
+    @Override
+    public ByteString snapshot() {
+        return machine.snapshot();
+    }
+
+    @Override
+    public void restore(ByteString state) {
+        machine.restore(state);
+        latest = snapshot.get();
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/operations/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' calls. */
+package org.hornbeamspread.control.operations;
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/settings/ControlSettings.java
@@ -0,0 +1,120 @@
+package org.hornbeamspread.control.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.ControlMember;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.transport.AddressTranslator;
+
+/**
+ * The checked settings of the control daemon.
+ *
+ * @param memberId this member
+ * @param peer where other processes reach it
+ * @param http where operators reach it
+ * @param failureDomain its failure domain
+ * @param region its region
+ * @param dataDirectory where its log lives
+ * @param members all members, this one included
+ * @param lease how long a proxy may act on a view
+ * @param clusterId names the system that the log belongs to
+ * @param translator maps announced addresses to reached ones
+ */
+public record ControlSettings(
+        String memberId,
+        Endpoint peer,
+        Endpoint http,
+        String failureDomain,
+        String region,
+        Path dataDirectory,
+        List<ControlMember> members,
+        Duration lease,
+        String clusterId,
+        AddressTranslator translator) {
+    private static final Duration MIN_LEASE = Duration.ofMillis(100);
+    private static final Duration MAX_LEASE = Duration.ofSeconds(10);
+
+    /** Checks what the parts can't check alone. Fails with INVALID_SETTING. */
+    public ControlSettings {
+        members = List.copyOf(members);
+        check(!failureDomain.isEmpty(), "--failure-domain is missing");
+        check(!region.isEmpty(), "--region is missing");
+        check(!clusterId.isEmpty(), "--cluster-id is empty");
+        check(
+                lease.compareTo(MIN_LEASE) >= 0 && lease.compareTo(MAX_LEASE) <= 0,
+                "--lease-ms must be " + MIN_LEASE.toMillis() + " to " + MAX_LEASE.toMillis());
+        String id = memberId;
+        check(members.stream().anyMatch(member -> member.getMemberId().equals(id)), "--members do not name " + id);
+        long names = members.stream().map(ControlMember::getMemberId).distinct().count();
+        check(names == members.size(), "--members name a member twice");
+    }
+
+    /** Checks the flags. Fails with INVALID_SETTING. */
+    public static ControlSettings of(ControlOptions options) {
+        check(!options.memberId.isEmpty(), "--member-id is missing");
+        check(!options.dataDir.isEmpty(), "--data-dir is missing");
+        return new ControlSettings(
+                options.memberId,
+                AddressTranslator.parse(options.peerEndpoint),
+                AddressTranslator.parse(options.httpEndpoint),
+                options.failureDomain,
+                options.region,
+                Path.of(options.dataDir),
+                members(options.members),
+                Duration.ofMillis(options.leaseMs),
+                options.clusterId,
+                translator(options.addressMap));
+    }
+
+    private static List<ControlMember> members(String list) {
+        List<ControlMember> members = new ArrayList<>();
+        for (String item : list.split(",", -1)) {
+            int equals = item.indexOf('=');
+            int slash = item.indexOf('/');
+            check(equals > 0 && slash > equals, "--members must be id=peer/http,...: " + item);
+            members.add(ControlMember.newBuilder()
+                    .setMemberId(item.substring(0, equals).trim())
+                    .setPeer(AddressTranslator.parse(item.substring(equals + 1, slash)))
+                    .setHttp(AddressTranslator.parse(item.substring(slash + 1).trim()))
+                    .setVoting(true)
+                    .build());
+        }
+        return members;
+    }
+
+    private static AddressTranslator translator(String file) {
+        if (file.isEmpty()) {
+            return AddressTranslator.identity();
+        }
+        Map<Endpoint, Endpoint> table = new HashMap<>();
+        try {
+            for (String line : Files.readAllLines(Path.of(file))) {
+                int equals = line.indexOf('=');
+                if (equals > 0) {
+                    table.put(
+                            AddressTranslator.parse(line.substring(0, equals).trim()),
+                            AddressTranslator.parse(line.substring(equals + 1).trim()));
+                }
+            }
+        } catch (IOException e) {
+            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "--address-map " + file);
+            failure.initCause(e);
+            throw failure;
+        }
+        return AddressTranslator.table(table);
+    }
+
+    private static void check(boolean condition, String detail) {
+        if (!condition) {
+            throw new FailureException(FailureType.INVALID_SETTING, detail);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/settings/package-info.java
@@ -0,0 +1,2 @@
+/** What the control daemon is started with. */
+package org.hornbeamspread.control.settings;
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/failover/ControlFixture.java
@@ -0,0 +1,273 @@
+package org.hornbeamspread.control.failover;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.hornbeamspread.control.state.ControlStateMachine;
+import org.hornbeamspread.control.view.ViewMessages;
+import org.hornbeamspread.core.failover.FailoverEffect;
+import org.hornbeamspread.core.failover.FailoverTimings;
+import org.hornbeamspread.core.failover.FailureDetector;
+import org.hornbeamspread.core.failover.GroupRecord;
+import org.hornbeamspread.core.membership.DatabaseRegistry;
+import org.hornbeamspread.core.membership.DatabaseRole;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.hornbeamspread.protocol.schema.Configuration;
+import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.ControlRecord;
+import org.hornbeamspread.protocol.schema.GroupDefinition;
+import org.hornbeamspread.protocol.schema.RankDefinition;
+import org.hornbeamspread.protocol.schema.RegisterDatabases;
+import org.hornbeamspread.protocol.schema.RenewView;
+import org.hornbeamspread.protocol.schema.ReplaceConfiguration;
+import org.hornbeamspread.protocol.schema.ServiceDefinition;
+import org.hornbeamspread.protocol.schema.SetGroupTerms;
+import org.hornbeamspread.protocol.schema.ViewLease;
+
+/**
+ * One control leader with a log of one member, three databases and three proxies on a paused clock. After each step it
+ * checks what must hold always: no proxy writes at a term older than one that is open, and a database has one holder at
+ * most.
+ */
+final class ControlFixture {
+    static final String GROUP = "g1";
+    static final Duration LEASE = Duration.ofSeconds(1);
+    private static final Duration STEP = Duration.ofMillis(20);
+    private static final int ANNOUNCE_STEPS = 15;
+    private static final List<String> DOMAINS = List.of("bole", "piassa", "sabian");
+
+    final PausedClock clock = new PausedClock();
+    final List<FakeDatabase> databases = new ArrayList<>();
+    final List<FakeProxy> proxies = new ArrayList<>();
+    final ControlStateMachine log = new ControlStateMachine();
+    final List<GroupRecord> appended = new ArrayList<>();
+    private final DatabaseRegistry registry =
+            new DatabaseRegistry(clock, Duration.ofSeconds(1), Duration.ofSeconds(30));
+    private final FailureDetector detector = new FailureDetector(clock, FailoverTimings.DEFAULT);
+    private final ControlMetrics metrics = new ControlMetrics(new PrometheusRegistry());
+    private LeaderSession session;
+    private long leaderTerm;
+    private long steps;
+    private long records;
+
+    ControlFixture() {
+        DOMAINS.forEach(domain -> databases.add(new FakeDatabase("d-" + domain, domain)));
+        DOMAINS.forEach(domain -> proxies.add(new FakeProxy("p-" + domain, domain, clock)));
+        apply(ControlCommand.newBuilder()
+                .setReplaceConfiguration(ReplaceConfiguration.newBuilder().setConfiguration(configuration())));
+        changeLeader();
+    }
+
+    /** Another member takes over: nothing but the log and the announcements is known to it. */
+    void changeLeader() {
+        leaderTerm++;
+        session = new LeaderSession(leaderTerm, LEASE, clock, FailoverTimings.DEFAULT, registry, detector, metrics);
+        session.update(log.state());
+    }
+
+    LeaderSession session() {
+        return session;
+    }
+
+    void run(Duration time) {
+        Instant end = clock.instant().plus(time);
+        while (clock.instant().isBefore(end)) {
+            step();
+        }
+    }
+
+    /** Runs until a term is open; returns how long that took. */
+    Duration runUntilOpen(long term, Duration limit) {
+        Instant start = clock.instant();
+        while (record().term() < term || !record().writable()) {
+            step();
+            assertWithMessage("open at term " + term)
+                    .that(Duration.between(start, clock.instant()))
+                    .isLessThan(limit);
+        }
+        return Duration.between(start, clock.instant());
+    }
+
+    void step() {
+        clock.advance(STEP);
+        steps++;
+        detector.step();
+        announce();
+        renew();
+        session.markChanged(registry.expire());
+        session.update(log.state());
+        session.silentPrimaries().forEach(database -> probe(database(database.databaseId())));
+        session.step().forEach((group, effects) -> effects.forEach(this::run));
+        checkInvariants();
+    }
+
+    GroupRecord record() {
+        return log.state().getGroupsList().stream()
+                .findFirst()
+                .map(ViewMessages::record)
+                .orElseGet(() -> GroupRecord.initial(GROUP));
+    }
+
+    FakeDatabase primary() {
+        return database(record().primaryId().orElseThrow());
+    }
+
+    Stream<FakeDatabase> replicas() {
+        String primaryId = record().primaryId().orElseThrow();
+        return databases.stream().filter(database -> !database.id.equals(primaryId));
+    }
+
+    FakeDatabase database(String id) {
+        return databases.stream()
+                .filter(database -> database.id.equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private Configuration configuration() {
+        return Configuration.newBuilder()
+                .addRanks(RankDefinition.newBuilder()
+                        .setName("urgent")
+                        .setTargetMs(300)
+                        .setWorth(100))
+                .addGroups(GroupDefinition.newBuilder()
+                        .setName(GROUP)
+                        .setDatabases(databases.size())
+                        .setSlotsPerDatabase(5)
+                        .setConnectionsPerDatabase(35))
+                .addServices(ServiceDefinition.newBuilder()
+                        .setName("rental-core")
+                        .addGroups(GROUP)
+                        .setDefaultTimeoutMs(1000))
+                .build();
+    }
+
+    private void announce() {
+        for (int i = 0; i < databases.size(); i++) {
+            FakeDatabase database = databases.get(i);
+            if (database.answers() && steps % ANNOUNCE_STEPS == i) {
+                session.markChanged(registry.announce(database.announcement(GROUP)));
+                detector.heard(database.id);
+            }
+        }
+    }
+
+    private void renew() {
+        for (int i = 0; i < proxies.size(); i++) {
+            FakeProxy proxy = proxies.get(i);
+            if (!proxy.cut && steps % ANNOUNCE_STEPS == i) {
+                RenewView request = proxy.request();
+                session.observe(request, ViewMessages.proxy(request.getProxy()));
+                ViewLease answer = session.grant(request, ViewMessages.proxy(request.getProxy()), clock.instant());
+                if (!proxy.deaf) {
+                    proxy.receive(answer, clock.instant());
+                }
+            }
+        }
+    }
+
+    private void probe(FakeDatabase database) {
+        if (!database.running && !database.cut) {
+            detector.refused(database.id);
+        } else if (database.answers()) {
+            reported(database);
+        }
+    }
+
+    private void run(FailoverEffect effect) {
+        if (effect instanceof FailoverEffect.AppendRecord append) {
+            appended.add(append.next());
+            apply(ControlCommand.newBuilder()
+                    .setSetGroupTerms(SetGroupTerms.newBuilder()
+                            .addGroups(ViewMessages.wire(append.next(), append.expectedTerm()))));
+            proposalDone();
+        } else if (effect instanceof FailoverEffect.AppendRegistrations append) {
+            RegisterDatabases.Builder register = RegisterDatabases.newBuilder();
+            append.registrations().forEach(item -> register.addDatabases(ViewMessages.wire(item, GROUP)));
+            apply(ControlCommand.newBuilder().setRegisterDatabases(register));
+            proposalDone();
+        } else {
+            command(effect);
+        }
+    }
+
+    private void command(FailoverEffect effect) {
+        if (effect instanceof FailoverEffect.Fence fence
+                && database(fence.databaseId()).answers()) {
+            database(fence.databaseId()).fence(fence.term());
+            reported(database(fence.databaseId()));
+        } else if (effect instanceof FailoverEffect.Promote promote
+                && database(promote.databaseId()).answers()) {
+            if (database(promote.databaseId()).promote(promote.term())) {
+                reported(database(promote.databaseId()));
+            } else {
+                session.group(GROUP).orElseThrow().failover().promoteRefused(promote.term());
+            }
+        } else if (effect instanceof FailoverEffect.Follow follow
+                && database(follow.databaseId()).answers()) {
+            FakeDatabase database = database(follow.databaseId());
+            if (database.follow(follow.term(), database(follow.primaryId()))) {
+                reported(database);
+                session.group(GROUP)
+                        .orElseThrow()
+                        .failover()
+                        .following(database.id, database.incarnation, follow.term());
+            }
+        } else if (effect instanceof FailoverEffect.Readmit readmit
+                && database(readmit.databaseId()).answers()) {
+            database(readmit.databaseId()).readmit(readmit.term(), readmit.incarnation());
+            reported(database(readmit.databaseId()));
+        }
+    }
+
+    private void reported(FakeDatabase database) {
+        registry.report(database.status());
+        detector.heard(database.id);
+        session.markChanged(List.of(GROUP));
+    }
+
+    private void apply(ControlCommand.Builder command) {
+        records++;
+        Optional<FailureException> refusal = log.apply(ControlRecord.newBuilder()
+                        .setIndex(records)
+                        .setTerm(leaderTerm)
+                        .setCommand(command.setProposedAtMs(clock.millis()))
+                        .build())
+                .failure();
+        assertThat(refusal).isEqualTo(Optional.empty());
+    }
+
+    private void proposalDone() {
+        session.update(log.state());
+        session.group(GROUP).orElseThrow().failover().proposalDone();
+    }
+
+    private void checkInvariants() {
+        long openTerm = record().writable() ? record().term() : 0;
+        for (FakeProxy proxy : proxies) {
+            Optional<Long> term = proxy.writableTerm(GROUP);
+            assertWithMessage("term of " + proxy.id + " while " + openTerm + " is open")
+                    .that(term.orElse(openTerm))
+                    .isAtLeast(openTerm);
+        }
+        for (FakeDatabase database : databases) {
+            assertWithMessage("holders of " + database.id)
+                    .that(proxies.stream()
+                            .filter(proxy -> proxy.holds(GROUP, database.id))
+                            .count())
+                    .isAtMost(1);
+        }
+        long primariesOfOpenTerm = databases.stream()
+                .filter(database -> database.role == DatabaseRole.PRIMARY && database.term == record().term())
+                .count();
+        assertThat(primariesOfOpenTerm).isAtMost(1);
+    }
+}
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/failover/FakeProxy.java
@@ -0,0 +1,88 @@
+package org.hornbeamspread.control.failover;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.GroupView;
+import org.hornbeamspread.protocol.schema.HeldDatabase;
+import org.hornbeamspread.protocol.schema.ProxyEntry;
+import org.hornbeamspread.protocol.schema.RenewView;
+import org.hornbeamspread.protocol.schema.ViewLease;
+
+/** A proxy as far as control sees it: the view it holds and how long it may act on it. */
+final class FakeProxy {
+    final String id;
+    final Map<String, GroupView> groups = new HashMap<>();
+    private final Clock clock;
+    private final String failureDomain;
+    private long leaderTerm;
+    private long version;
+    private Instant freshUntil = Instant.EPOCH;
+
+    /** Requests get lost. */
+    boolean cut;
+
+    /** Requests arrive, answers get lost. */
+    boolean deaf;
+
+    boolean draining;
+
+    FakeProxy(String id, String failureDomain, PausedClock clock) {
+        this.id = id;
+        this.failureDomain = failureDomain;
+        this.clock = clock;
+    }
+
+    RenewView request() {
+        RenewView.Builder request = RenewView.newBuilder()
+                .setProxy(ProxyEntry.newBuilder()
+                        .setProxyId(id)
+                        .setFailureDomain(failureDomain)
+                        .setRegion("addis")
+                        .setDraining(draining))
+                .setLeaderTerm(leaderTerm)
+                .setViewVersion(version);
+        groups.values()
+                .forEach(group -> group.getDatabasesList().stream()
+                        .filter(database -> database.getHolderProxyId().equals(id))
+                        .forEach(database -> request.addHeld(HeldDatabase.newBuilder()
+                                .setDatabaseId(database.getDatabaseId())
+                                .setHolderEpoch(database.getHolderEpoch()))));
+        return request.build();
+    }
+
+    void receive(ViewLease answer, Instant sentAt) {
+        if (answer.getFull()) {
+            groups.clear();
+        }
+        answer.getRemovedGroupsList().forEach(groups::remove);
+        answer.getGroupsList().forEach(group -> groups.put(group.getGroup(), group));
+        leaderTerm = answer.getLeaderTerm();
+        version = answer.getViewVersion();
+        freshUntil = sentAt.plusMillis(answer.getLeaseMs());
+    }
+
+    boolean isFresh() {
+        return clock.instant().isBefore(freshUntil);
+    }
+
+    /** The term at which this proxy would send and acknowledge writes now. */
+    Optional<Long> writableTerm(String group) {
+        GroupView view = groups.getOrDefault(group, GroupView.getDefaultInstance());
+        return isFresh() && view.getWritable() ? Optional.of(view.getTerm()) : Optional.empty();
+    }
+
+    /** Whether this proxy would use the database's connections now. */
+    boolean holds(String group, String databaseId) {
+        GroupView view = groups.getOrDefault(group, GroupView.getDefaultInstance());
+        return isFresh()
+                && view.getDatabasesList().stream()
+                        .filter(database -> database.getDatabaseId().equals(databaseId))
+                        .map(DatabaseEntry::getHolderProxyId)
+                        .anyMatch(id::equals);
+    }
+}
--- a/core/src/main/java/org/hornbeamspread/core/dissemination/ViewLeases.java
+++ b/core/src/main/java/org/hornbeamspread/core/dissemination/ViewLeases.java
@@ -112,6 +112,11 @@
         return Optional.ofNullable(entries.get(proxyId)).map(entry -> entry.proxy);
     }
 
+    /** How many proxies have a lease. */
+    public int size() {
+        return entries.size();
+    }
+
     /** All proxies with a lease. */
     public Collection<P> living() {
         return entries.values().stream().map(entry -> entry.proxy).toList();
--- a/core/src/main/java/org/hornbeamspread/core/failover/Followers.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/Followers.java
@@ -59,8 +59,7 @@
     /** What brings the other members behind a primary that is promoted. */
     List<FailoverEffect> follow(GroupInput input) {
         long term = input.record().term();
-        Optional<DatabaseStatus> primary =
-                input.primary().filter(status -> status.isPrimaryAt(term));
+        Optional<DatabaseStatus> primary = input.primary().filter(status -> status.isPrimaryAt(term));
         if (primary.isEmpty()) {
             return List.of();
         }
@@ -94,15 +93,14 @@
         if (followingIncarnation == null || followingIncarnation != status.incarnation()) {
             return Optional.of(new Follow(databaseId, status.incarnation(), term, primary.databaseId()));
         }
-        boolean readmitted = !status.trusted()
-                && rules.isTrusted(status, input.registration(databaseId), input.record());
+        boolean readmitted =
+                !status.trusted() && rules.isTrusted(status, input.registration(databaseId), input.record());
         return readmitted ? Optional.of(new Readmit(databaseId, status.incarnation(), term)) : Optional.empty();
     }
 
     private boolean mayReadmit(GroupInput input, DatabaseStatus status) {
         return input.primary()
-                .filter(primary -> rules.isTrusted(
-                        primary, input.registration(primary.databaseId()), input.record()))
+                .filter(primary -> rules.isTrusted(primary, input.registration(primary.databaseId()), input.record()))
                 .filter(primary -> rules.mayReadmit(status, primary, input.record()))
                 .isPresent();
     }
@@ -116,9 +114,7 @@
         boolean fresh = first.stream().allMatch(DatabaseStatus::isEmpty);
         return Optional.of(new AppendRegistrations(first.stream()
                 .map(status -> new Registration(
-                        status.databaseId(),
-                        status.incarnation(),
-                        fresh || (status.trusted() && status.term() > 0)))
+                        status.databaseId(), status.incarnation(), fresh || (status.trusted() && status.term() > 0)))
                 .toList()));
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
@@ -154,7 +154,8 @@
     }
 
     private List<FailoverEffect> start(GroupInput input, PromotionReason reason) {
-        long highest = input.members().stream().mapToLong(DatabaseStatus::term).max().orElse(0);
+        long highest =
+                input.members().stream().mapToLong(DatabaseStatus::term).max().orElse(0);
         long next = Math.max(highest, input.record().term()) + 1;
         long silenceMs = reason == PromotionReason.LOST ? timings.silenceMs() : 0;
         if (reason != PromotionReason.FIRST && reason != PromotionReason.HANDOVER) {
@@ -162,8 +163,8 @@
         }
         proposing = true;
         listener.started(input.record().group(), next, reason, silenceMs);
-        return List.of(new AppendRecord(
-                input.record().fencing(next), input.record().term()));
+        return List.of(
+                new AppendRecord(input.record().fencing(next), input.record().term()));
     }
 
     private List<FailoverEffect> fence(GroupInput input) {
@@ -252,9 +253,8 @@
         long term = input.record().term();
         boolean lost = chosen.isEmpty() || isLost(input, chosen.get()) || !isTrusted(input, chosen.get());
         boolean late = sinceStartMs() > timings.promoteTimeoutMs();
-        boolean replaced = primaryIncarnation != 0
-                && chosen.isPresent()
-                && chosen.get().incarnation() != primaryIncarnation;
+        boolean replaced =
+                primaryIncarnation != 0 && chosen.isPresent() && chosen.get().incarnation() != primaryIncarnation;
         if ((lost || late || replaced || promoteRefused) && canFinish(input)) {
             return start(input, PromotionReason.NOT_PROMOTED);
         }
@@ -289,8 +289,7 @@
         if (hasRestarted(primary.get(), term)) {
             return Optional.of(PromotionReason.RESTARTED);
         }
-        boolean departs = input.departing().contains(primary.get().databaseId())
-                && aliveCandidates(input) >= 1;
+        boolean departs = input.departing().contains(primary.get().databaseId()) && aliveCandidates(input) >= 1;
         return departs || isHandoverDue(input) ? Optional.of(PromotionReason.HANDOVER) : Optional.empty();
     }
 
@@ -331,8 +330,10 @@
     /** Trusted live members that could take over from the present primary. */
     private long aliveCandidates(GroupInput input) {
         return input.members().stream()
-                .filter(status ->
-                        input.record().primaryId().filter(status.databaseId()::equals).isEmpty())
+                .filter(status -> input.record()
+                        .primaryId()
+                        .filter(status.databaseId()::equals)
+                        .isEmpty())
                 .filter(status -> status.role() == DatabaseRole.REPLICA)
                 .filter(status -> isTrusted(input, status) && !isAvoided(input, status))
                 .count();
--- a/core/src/main/java/org/hornbeamspread/core/failover/PromotionRules.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/PromotionRules.java
@@ -42,9 +42,8 @@
         if (primary.marker().isEmpty()) {
             return false;
         }
-        LogPosition needed = requiresMarker()
-                ? LogPosition.max(commit, primary.marker().get())
-                : commit;
+        LogPosition needed =
+                requiresMarker() ? LogPosition.max(commit, primary.marker().get()) : commit;
         long holders = 1
                 + trustedReplicas.stream()
                         .filter(replica -> replica.term() == primary.term())
--- a/core/src/main/java/org/hornbeamspread/core/membership/AnnouncedDatabase.java
+++ b/core/src/main/java/org/hornbeamspread/core/membership/AnnouncedDatabase.java
@@ -38,12 +38,12 @@
 
     /** The same announcement with another status. */
     public AnnouncedDatabase withStatus(DatabaseStatus other) {
-        return new AnnouncedDatabase(
-                group, address, failureDomain, region, slots, connectionLimit, departing, other);
+        return new AnnouncedDatabase(group, address, failureDomain, region, slots, connectionLimit, departing, other);
     }
 
     /** Whether everything but the status equals, and the status is of the same incarnation. */
     public boolean describesSame(AnnouncedDatabase other) {
-        return status.incarnation() == other.status.incarnation() && withStatus(other.status).equals(other);
+        return status.incarnation() == other.status.incarnation()
+                && withStatus(other.status).equals(other);
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/membership/DatabaseRegistry.java
+++ b/core/src/main/java/org/hornbeamspread/core/membership/DatabaseRegistry.java
@@ -47,8 +47,7 @@
     public Set<String> announce(AnnouncedDatabase announced) {
         Entry known = databases.get(announced.databaseId());
         if (known != null
-                && announced.status().incarnation()
-                        < known.database.status().incarnation()) {
+                && announced.status().incarnation() < known.database.status().incarnation()) {
             refusedAnnouncements++;
             return Set.of();
         }
@@ -108,8 +107,7 @@
 
     /** The databases of a group, sorted by name. */
     public List<AnnouncedDatabase> ofGroup(String group) {
-        Collection<Entry> entries =
-                groups.getOrDefault(group, new TreeMap<>()).values();
+        Collection<Entry> entries = groups.getOrDefault(group, new TreeMap<>()).values();
         return entries.stream().map(entry -> entry.database).toList();
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/membership/HolderAssignment.java
+++ b/core/src/main/java/org/hornbeamspread/core/membership/HolderAssignment.java
@@ -99,8 +99,7 @@
         holdings.remove(databaseId);
     }
 
-    private boolean assignReleased(
-            Holding holding, Optional<String> wished, ReleaseCheck release, boolean mayAssign) {
+    private boolean assignReleased(Holding holding, Optional<String> wished, ReleaseCheck release, boolean mayAssign) {
         if (wished.isEmpty() || !mayAssign) {
             return false;
         }
