--- /dev/null
+++ b/load/src/main/java/org/hornbeamspread/load/LinkBytesMeter.java
@@ -0,0 +1,45 @@
+package org.hornbeamspread.load;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.hornbeamspread.http.RpcClient;
+import org.hornbeamspread.protocol.schema.GetLinkBytesRequest;
+import org.hornbeamspread.protocol.schema.LinkBytes;
+import org.hornbeamspread.transport.AddressTranslator;
+
+/** Counts the bytes that cross the emulator's links between regions, from its making on. */
+final class LinkBytesMeter {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final RpcClient client = new RpcClient();
+
+    /** The links' HTTP endpoint, empty when there are no links. */
+    private final String linkControl;
+
+    private final OptionalLong startBytes;
+
+    LinkBytesMeter(String linkControl) {
+        this.linkControl = linkControl;
+        this.startBytes = now();
+    }
+
+    /** Bytes since the making, both directions; empty without links. */
+    OptionalLong sinceStart() {
+        OptionalLong nowBytes = now();
+        return nowBytes.isEmpty() ? nowBytes : OptionalLong.of(nowBytes.getAsLong() - startBytes.orElseThrow());
+    }
+
+    private OptionalLong now() {
+        if (linkControl.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of(client.call(
+                        AddressTranslator.parse(linkControl),
+                        "hornbeamspread.Links/GetLinkBytes",
+                        GetLinkBytesRequest.getDefaultInstance(),
+                        LinkBytes.getDefaultInstance(),
+                        TIMEOUT)
+                .join()
+                .getInterRegionBytes());
+    }
+}
--- a/load/src/main/java/org/hornbeamspread/load/LoadMain.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadMain.java
@@ -77,9 +77,11 @@
             if (!options.startFile.isEmpty()) {
                 write(Path.of(options.startFile), run.start().toEpochMilli() + "\n");
             }
+            LinkBytesMeter bytes = new LinkBytesMeter(options.linkControl);
             run.run();
-            return report(
-                    options, workload, run, audit(workload, port, run.callers().ledger(), clock));
+            OptionalLong interRegionBytes = bytes.sinceStart();
+            Audit.Result audit = audit(workload, port, run.callers().ledger(), clock);
+            return report(options, workload, run, interRegionBytes, audit);
         }
     }
 
@@ -106,7 +108,8 @@
         };
     }
 
-    private static LoadReport report(LoadOptions options, Workload workload, LoadRun run, Audit.Result audit) {
+    private static LoadReport report(
+            LoadOptions options, Workload workload, LoadRun run, OptionalLong interRegionBytes, Audit.Result audit) {
         long endMs = run.nowUs() / 1_000;
         long faultAtMs = faultTime(options.faultTimeFile) - run.start().toEpochMilli();
         Map<String, Long> gaps = new HashMap<>();
@@ -122,7 +125,7 @@
                 options.configurationInForceMs < 0
                         ? OptionalLong.empty()
                         : OptionalLong.of(options.configurationInForceMs),
-                OptionalLong.empty(),
+                interRegionBytes,
                 run.callers().rankReports(),
                 run.dispatcher().refusals(),
                 run.dispatcher().notSent());
--- a/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
@@ -37,6 +37,12 @@
     @Option(name = "--configuration-in-force-ms", usage = "a measured value to put into the report")
     long configurationInForceMs = -1;
 
+    @Option(
+            name = "--link-control",
+            metaVar = "HOST:PORT",
+            usage = "HTTP endpoint of the emulator's links, to count bytes")
+    String linkControl = "";
+
     @Option(name = "--report", metaVar = "FILE", usage = "where the JSON report goes")
     String report = "";
 
