--- a/control/src/test/java/org/hornbeamspread/control/failover/FailoverScenarioTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/failover/FailoverScenarioTest.java
@@ -3,12 +3,24 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.hornbeamspread.core.failover.GroupRecord;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Named;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
+/** The fixture checks after each step that no proxy writes at an old term and that a database has one holder. */
 final class FailoverScenarioTest {
     private static final Duration START_LIMIT = Duration.ofSeconds(3);
+    private static final Duration GAP_LIMIT = Duration.ofSeconds(4);
+    private static final Duration LONG = Duration.ofSeconds(10);
 
     private final ControlFixture control = new ControlFixture();
 
@@ -30,4 +42,208 @@
                 .isTrue();
         assertThat(control.appended.stream().map(GroupRecord::term)).containsExactly(1L, 1L, 1L);
     }
+
+    static Stream<Named<Consumer<ControlFixture>>> losses() {
+        return Stream.of(
+                Named.of("stopped", control -> control.primary().running = false),
+                Named.of("frozen", control -> control.primary().frozen = true),
+                Named.of("cut off", control -> control.primary().cut = true),
+                Named.of("cut off with its proxy", control -> {
+                    String domain = control.primary().failureDomain;
+                    control.primary().cut = true;
+                    control.proxies.stream()
+                            .filter(proxy -> proxy.id.endsWith(domain))
+                            .forEach(proxy -> proxy.cut = true);
+                }),
+                Named.of("stopped while a proxy hears no answers", control -> {
+                    control.primary().running = false;
+                    control.proxies.get(0).deaf = true;
+                }),
+                Named.of("disk lost", control -> control.primary().loseDisk()),
+                Named.of("restarted", control -> control.primary().restart()));
+    }
+
+    @ParameterizedTest
+    @MethodSource("losses")
+    void aLostPrimaryIsReplacedWithinTheGapAndComesBackAsReplica(Consumer<ControlFixture> loss) {
+        FakeDatabase old = control.primary();
+        loss.accept(control);
+        control.runUntilOpen(2, GAP_LIMIT);
+        control.run(LONG);
+        heal(old);
+        control.run(LONG);
+        assertThat(control.record().term()).isEqualTo(2);
+        assertThat(control.replicas().allMatch(replica -> replica.followedTerm == 2 && replica.trusted))
+                .isTrue();
+        assertThat(control.databases.stream()
+                        .filter(database -> database.isPrimary(2))
+                        .count())
+                .isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1})
+    void theHighestFencedPositionIsPromoted(int index) {
+        FakeDatabase ahead = control.replicas().skip(index).findFirst().orElseThrow();
+        ahead.synced = new LogPosition(1, ahead.synced.indexEntries() + 7);
+        control.primary().running = false;
+        control.runUntilOpen(2, GAP_LIMIT);
+        assertThat(control.primary()).isEqualTo(ahead);
+    }
+
+    @Test
+    void aSecondLossWaitsForAMajorityAndThenGoesOn() {
+        FakeDatabase first = control.primary();
+        first.running = false;
+        control.runUntilOpen(2, GAP_LIMIT);
+        FakeDatabase second = control.primary();
+        second.running = false;
+        control.run(LONG);
+        assertThat(control.record().term()).isEqualTo(2);
+        heal(first);
+        control.runUntilOpen(3, GAP_LIMIT);
+    }
+
+    @Test
+    void aSecondLossRightAfterTheRepairIsReplacedToo() {
+        FakeDatabase first = control.primary();
+        first.running = false;
+        control.runUntilOpen(2, GAP_LIMIT);
+        heal(first);
+        control.run(Duration.ofSeconds(1));
+        control.primary().running = false;
+        control.runUntilOpen(3, GAP_LIMIT);
+        assertThat(control.primary().synced.term()).isEqualTo(3);
+    }
+
+    @Test
+    void aDatabaseThatLostItsDiskCountsForNothingUntilItHasCaughtUp() {
+        FakeDatabase lost = control.replicas().findFirst().orElseThrow();
+        control.primary().synced = new LogPosition(1, 50);
+        lost.loseDisk();
+        control.run(LONG);
+        assertThat(lost.trusted).isTrue();
+        assertThat(lost.synced).isEqualTo(new LogPosition(1, 50));
+        FakeDatabase other = control.replicas()
+                .filter(replica -> replica != lost)
+                .findFirst()
+                .orElseThrow();
+        lost.loseDisk();
+        other.running = false;
+        control.primary().running = false;
+        control.run(LONG);
+        assertThat(control.record().term()).isEqualTo(1);
+    }
+
+    @Test
+    void aFlappingLinkCausesFewPromotions() {
+        for (int i = 0; i < 20; i++) {
+            control.primary().cut = true;
+            control.run(Duration.ofMillis(1400));
+            control.databases.forEach(database -> database.cut = false);
+            control.run(Duration.ofMillis(600));
+        }
+        assertThat(control.record().term()).isAtMost(3);
+    }
+
+    @Test
+    void aPauseOfControlItselfPromotesNothing() {
+        for (int i = 0; i < 5; i++) {
+            control.primary().frozen = true;
+            control.clock.advance(Duration.ofSeconds(3));
+            control.run(Duration.ofMillis(400));
+            control.primary().frozen = false;
+            control.run(Duration.ofSeconds(2));
+        }
+        assertThat(control.record().term()).isEqualTo(1);
+    }
+
+    @Test
+    void aShortSilencePromotesNothing() {
+        control.primary().frozen = true;
+        control.run(Duration.ofMillis(800));
+        control.primary().frozen = false;
+        control.run(LONG);
+        assertThat(control.record().term()).isEqualTo(1);
+    }
+
+    static Stream<Integer> stepsAfterTheLoss() {
+        return Stream.iterate(1, step -> step <= 160, step -> step + 6);
+    }
+
+    @ParameterizedTest
+    @MethodSource("stepsAfterTheLoss")
+    void aNewLeaderFinishesAPromotionFromAnyStep(int steps) {
+        control.primary().running = false;
+        for (int i = 0; i < steps; i++) {
+            control.step();
+        }
+        control.changeLeader();
+        control.runUntilOpen(2, GAP_LIMIT.plus(ControlFixture.LEASE));
+        control.run(LONG);
+        assertThat(control.record().term()).isEqualTo(2);
+    }
+
+    @Test
+    void aNewLeaderLeavesHoldersWhereTheyAre() {
+        List<String> before = holders();
+        control.changeLeader();
+        control.run(LONG);
+        assertThat(holders()).isEqualTo(before);
+        assertThat(control.record().term()).isEqualTo(1);
+    }
+
+    @Test
+    void aDepartingPrimaryHandsOver() {
+        FakeDatabase old = control.primary();
+        old.departing = true;
+        control.runUntilOpen(2, Duration.ofSeconds(2));
+        control.run(LONG);
+        assertThat(control.primary()).isNotEqualTo(old);
+        assertThat(control.record().term()).isEqualTo(2);
+    }
+
+    @Test
+    void anOperatorChoosesThePrimary() {
+        String wished = control.replicas().skip(1).findFirst().orElseThrow().id;
+        control.session().group(ControlFixture.GROUP).orElseThrow().failover().requestHandover(Optional.of(wished));
+        control.runUntilOpen(2, Duration.ofSeconds(2));
+        control.run(LONG);
+        assertThat(control.primary().id).isEqualTo(wished);
+        assertThat(control.record().term()).isEqualTo(2);
+    }
+
+    @Test
+    void aDrainingProxyHandsItsDatabaseOver() {
+        FakeProxy draining = control.proxies.get(0);
+        String held = control.databases.get(0).id;
+        assertThat(draining.holds(ControlFixture.GROUP, held)).isTrue();
+        draining.draining = true;
+        control.run(Duration.ofSeconds(2));
+        assertThat(draining.holds(ControlFixture.GROUP, held)).isFalse();
+        assertThat(control.proxies.stream()
+                        .filter(proxy -> proxy.holds(ControlFixture.GROUP, held))
+                        .count())
+                .isEqualTo(1);
+    }
+
+    private List<String> holders() {
+        return control.databases.stream()
+                .map(database -> control.proxies.stream()
+                        .filter(proxy -> proxy.holds(ControlFixture.GROUP, database.id))
+                        .map(proxy -> proxy.id)
+                        .findFirst()
+                        .orElse("none"))
+                .toList();
+    }
+
+    private void heal(FakeDatabase database) {
+        if (!database.running) {
+            database.restart();
+        }
+        database.frozen = false;
+        database.cut = false;
+        control.proxies.forEach(proxy -> proxy.cut = false);
+        control.proxies.forEach(proxy -> proxy.deaf = false);
+    }
 }
