Count a promotion as recent only once it is done; report the silence seen

Change: a replaced primary counts when its term is opened; the listener gets the silence that was seen.

--- a/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
@@ -277,12 +277,14 @@
     private GroupInput input(GroupState group, long oldestVersion) {
         List<AnnouncedDatabase> databases = group.databases(registry);
         int recent = group.failover().recentPromotions();
-        Set<String> suspected = new HashSet<>();
+        Map<String, Long> suspected = new HashMap<>();
         List<DatabaseStatus> statuses = new ArrayList<>();
         for (AnnouncedDatabase database : databases) {
             statuses.add(database.status());
             if (detector.isSuspected(database.databaseId(), recent)) {
-                suspected.add(database.databaseId());
+                suspected.put(
+                        database.databaseId(),
+                        detector.silence(database.databaseId()).toMillis());
             }
         }
         long neededVersion = view.versionOfTerm(group.name(), group.record().term());
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
@@ -48,9 +48,12 @@
     private final Commands commands;
     private final Followers followers;
 
-    /** When this leader started its latest promotions, oldest first. */
+    /** When this leader finished its latest promotions that replaced a lost primary, oldest first. */
     private final Deque<Instant> promotions = new ArrayDeque<>();
 
+    /** Whether the promotion under way replaces a lost primary. */
+    private boolean replacing;
+
     /** The term that the fields below are about. */
     private long seenTerm = -1;
 
@@ -125,7 +128,7 @@
         handover = new Handover(databaseId);
     }
 
-    /** How many promotions this leader started within the last calm time. */
+    /** How many lost primaries this leader has replaced within the last calm time. */
     public int recentPromotions() {
         Instant oldest = clock.instant().minusMillis(timings.calmMs());
         while (!promotions.isEmpty() && promotions.peekFirst().isBefore(oldest)) {
@@ -149,6 +152,10 @@
         if (record.writable() && !toldOpened) {
             toldOpened = true;
             handover = null;
+            if (replacing) {
+                promotions.addLast(clock.instant());
+                replacing = false;
+            }
             listener.opened(record.group(), record.term(), sinceStartMs());
         }
     }
@@ -157,10 +164,11 @@
         long highest =
                 input.members().stream().mapToLong(DatabaseStatus::term).max().orElse(0);
         long next = Math.max(highest, input.record().term()) + 1;
-        long silenceMs = reason == PromotionReason.LOST ? timings.silenceMs() : 0;
-        if (reason != PromotionReason.FIRST && reason != PromotionReason.HANDOVER) {
-            promotions.addLast(clock.instant());
-        }
+        long silenceMs = input.record()
+                .primaryId()
+                .map(id -> input.suspected().getOrDefault(id, 0L))
+                .orElse(0L);
+        replacing |= reason != PromotionReason.FIRST && reason != PromotionReason.HANDOVER;
         proposing = true;
         listener.started(input.record().group(), next, reason, silenceMs);
         return List.of(
@@ -222,7 +230,7 @@
 
     private boolean isAvoided(GroupInput input, DatabaseStatus status) {
         return input.departing().contains(status.databaseId())
-                || input.suspected().contains(status.databaseId())
+                || input.suspected().containsKey(status.databaseId())
                 || (handover != null && status.databaseId().equals(handover.replacedId));
     }
 
@@ -350,7 +358,7 @@
     }
 
     private boolean isLost(GroupInput input, DatabaseStatus status) {
-        return input.suspected().contains(status.databaseId());
+        return input.suspected().containsKey(status.databaseId());
     }
 
     private boolean isTrusted(GroupInput input, DatabaseStatus status) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupInput.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupInput.java
@@ -14,7 +14,7 @@
  * @param declaredDatabases how many databases the configuration declares
  * @param statuses the latest status of each announced database of the group
  * @param registrations the members as the log holds them, by name
- * @param suspected the databases that are taken for lost
+ * @param suspected the databases that are taken for lost, and for how many milliseconds each has been silent
  * @param departing the databases that should hold no office
  * @param oldLeasesOver whether no proxy acts on a view older than the one that shows the record's term
  */
@@ -23,7 +23,7 @@
         int declaredDatabases,
         List<DatabaseStatus> statuses,
         Map<String, Registration> registrations,
-        Set<String> suspected,
+        Map<String, Long> suspected,
         Set<String> departing,
         BooleanSupplier oldLeasesOver) {
     /** The latest status of the record's primary, if it is a member and announced. */
