Session tokens, read routing, retries and write quorums

The decisions of the proxy that need no thread or socket: what a session has seen and how the caller carries it; which database serves a read, with a proven bound of a replica's age; when a failed attempt may be sent again; when a write is held by a majority at its own term; and how long the view may be trusted.

A pushed report was ruled out as a sample for the age bound: it says that the primary was there before it arrived, not how long before. Samples are therefore answers to questions, dated by the question.

--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/session/package-info.java
@@ -0,0 +1,2 @@
+/** What a session has seen, carried by the caller. */
+package org.hornbeamspread.core.session;
--- /dev/null
+++ b/core/src/test/java/org/hornbeamspread/core/retry/RetryPolicyTest.java
@@ -0,0 +1,64 @@
+package org.hornbeamspread.core.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.hornbeamspread.core.misc.Effect;
+import org.hornbeamspread.core.misc.FailureType;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+final class RetryPolicyTest {
+    private static final RetryPolicy POLICY = new RetryPolicy(Duration.ofMillis(5), Duration.ofMillis(100));
+
+    @ParameterizedTest
+    @EnumSource(FailureType.class)
+    void aWriteWithoutAKeyIsNeverSentAgainAfterAnUnknownOutcome(FailureType type) {
+        if (type.effect() != Effect.NOT_RUN) {
+            assertThat(RetryPolicy.isRetryable(type, StatementKind.UNKEYED_WRITE))
+                    .isFalse();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "WRONG_TERM, UNKEYED_WRITE, true",
+        "WRONG_HOLDER, READ, true",
+        "TERM_CHANGED_AFTER_SEND, KEYED_WRITE, true",
+        "CONNECTION_LOST_AFTER_SEND, READ, true",
+        "STATEMENT_CONFLICT, KEYED_WRITE, false",
+        "INVALID_TOKEN, READ, false",
+        "QUEUE_FULL, READ, false",
+        "DEADLINE_BEFORE_START, KEYED_WRITE, false",
+        "INTERNAL, READ, false",
+        "TRANSACTION_LOST, KEYED_WRITE, false",
+    })
+    void whatMayBeSentAgain(FailureType type, StatementKind kind, boolean retryable) {
+        assertThat(RetryPolicy.isRetryable(type, kind)).isEqualTo(retryable);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"1, 1000, 5", "2, 1000, 10", "5, 1000, 80", "6, 1000, 100", "90, 1000, 100", "3, 20, -1", "3, 21, 20"})
+    void thePauseDoublesUpToALimitAndNeverPassesTheDeadline(int attempts, long remainingMs, long pauseMs) {
+        Optional<Duration> pause = POLICY.nextAttempt(
+                FailureType.NO_PRIMARY, StatementKind.READ, attempts, Duration.ofMillis(remainingMs));
+        assertThat(pause.map(Duration::toMillis).orElse(-1L)).isEqualTo(pauseMs);
+    }
+
+    @Test
+    void retriesAreAShareOfFirstAttempts() {
+        RetryBudget budget = new RetryBudget(0.1, 3, 100);
+        int retries = 0;
+        for (int i = 0; i < 1000; i++) {
+            budget.earn("flooder", "urgent");
+            retries += budget.spend("flooder", "urgent") ? 1 : 0;
+        }
+        assertThat(retries).isAtLeast(100);
+        assertThat(retries).isAtMost(103);
+        assertThat(budget.spend("other", "urgent")).isTrue();
+        assertThat(budget.spend("flooder", "ledger")).isTrue();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/hornbeamspread/core/routing/ReadRouterTest.java
@@ -0,0 +1,119 @@
+package org.hornbeamspread.core.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.hornbeamspread.core.routing.Proximity.OTHER_REGION;
+import static org.hornbeamspread.core.routing.Proximity.SAME_FAILURE_DOMAIN;
+import static org.hornbeamspread.core.routing.Proximity.SAME_REGION;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+final class ReadRouterTest {
+    private static final LogPosition FLOOR = new LogPosition(2, 10);
+    private static final LogPosition BEHIND = new LogPosition(2, 9);
+    private static final Duration ALLOWANCE = Duration.ofSeconds(2);
+    private static final ReadRouter ROUTER = new ReadRouter(Duration.ofMillis(20), Duration.ofMillis(16));
+
+    static Stream<Arguments> decisions() {
+        ReadCandidate near = replica("near", SAME_FAILURE_DOMAIN, FLOOR, 100, 5);
+        ReadCandidate region = replica("region", SAME_REGION, FLOOR, 100, 5);
+        ReadCandidate far = replica("far", OTHER_REGION, FLOOR, 100, 5);
+        ReadCandidate nearPrimary = primary("primary", SAME_FAILURE_DOMAIN);
+        ReadCandidate farPrimary = primary("primary", OTHER_REGION);
+        return Stream.of(
+                Arguments.of("own failure domain first", List.of(far, region, near), "Replica near"),
+                Arguments.of("then own region", List.of(far, region, farPrimary), "Replica region"),
+                Arguments.of("a replica before a near primary", List.of(region, nearPrimary), "Replica region"),
+                Arguments.of("a near primary before a far replica", List.of(far, nearPrimary), "Primary primary"),
+                Arguments.of("a far replica before a far primary", List.of(far, farPrimary), "Replica far"),
+                Arguments.of("at the allowance", List.of(replica("r", SAME_REGION, FLOOR, 2000, 5)), "Replica r"),
+                Arguments.of("past the allowance", List.of(replica("r", SAME_REGION, FLOOR, 2001, 5)), "Refuse"),
+                Arguments.of(
+                        "of unknown age",
+                        List.of(candidate("r", false, true, SAME_REGION, FLOOR, -1, 5), nearPrimary),
+                        "Primary primary"),
+                Arguments.of(
+                        "departing or unreachable",
+                        List.of(candidate("r", false, false, SAME_REGION, FLOOR, 1, 5), nearPrimary),
+                        "Primary primary"),
+                Arguments.of(
+                        "behind, but soon there",
+                        List.of(replica("r", SAME_REGION, BEHIND, 100, 5), nearPrimary),
+                        "WaitForReplica r"),
+                Arguments.of(
+                        "behind, and slow",
+                        List.of(replica("r", SAME_REGION, BEHIND, 100, 21), nearPrimary),
+                        "Primary primary"),
+                Arguments.of(
+                        "behind, slower than a round trip to the primary",
+                        List.of(replica("r", SAME_REGION, BEHIND, 100, 17), farPrimary),
+                        "Primary primary"),
+                Arguments.of("behind, and no primary", List.of(replica("r", SAME_REGION, BEHIND, 100, 21)), "Refuse"),
+                Arguments.of("nobody", List.of(), "Refuse"));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("decisions")
+    void theNearestDatabaseThatMayServeDoes(String name, List<ReadCandidate> candidates, String expected) {
+        assertThat(text(ROUTER.decide(candidates, FLOOR, ALLOWANCE, true))).isEqualTo(expected);
+    }
+
+    @Test
+    void aReadWaitsOnlyOnceAndWithoutAnAllowanceNever() {
+        List<ReadCandidate> candidates =
+                List.of(replica("r", SAME_REGION, BEHIND, 1, 5), primary("primary", OTHER_REGION));
+        assertThat(text(ROUTER.decide(candidates, FLOOR, ALLOWANCE, false))).isEqualTo("Primary primary");
+        assertThat(text(ROUTER.decide(candidates, LogPosition.NONE, Duration.ZERO, true)))
+                .isEqualTo("Primary primary");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"addis, 2", "addis-2, 2", "club-17, 1", "ሰላም, 2"})
+    void aRoutingKeyAlwaysMapsToTheSameGroup(String key, int group) {
+        assertThat(GroupRouting.groupOf(List.of("g0", "g1", "g2"), key)).isEqualTo("g" + group);
+    }
+
+    private static String text(ReadDecision decision) {
+        if (decision instanceof ReadDecision.Replica replica) {
+            return "Replica " + replica.databaseId();
+        }
+        if (decision instanceof ReadDecision.Primary primary) {
+            return "Primary " + primary.databaseId();
+        }
+        if (decision instanceof ReadDecision.WaitForReplica waiting) {
+            return "WaitForReplica " + waiting.databaseId();
+        }
+        assertThat(((ReadDecision.Refuse) decision).type()).isEqualTo(FailureType.NO_REPLICA_IN_TIME);
+        return "Refuse";
+    }
+
+    private static ReadCandidate replica(String id, Proximity proximity, LogPosition applied, long ageMs, long lagMs) {
+        return candidate(id, false, true, proximity, applied, ageMs, lagMs);
+    }
+
+    private static ReadCandidate primary(String id, Proximity proximity) {
+        return candidate(id, true, true, proximity, FLOOR, 0, 0);
+    }
+
+    private static ReadCandidate candidate(
+            String id,
+            boolean primary,
+            boolean usable,
+            Proximity proximity,
+            LogPosition applied,
+            long ageMs,
+            long lagMs) {
+        Optional<Duration> age = ageMs < 0 ? Optional.empty() : Optional.of(Duration.ofMillis(ageMs));
+        return new ReadCandidate(
+                id, primary, usable, proximity, applied, age, Optional.of(Duration.ofMillis(lagMs)), 0);
+    }
+}
