--- a/core/src/main/java/org/hornbeamspread/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/hornbeamspread/core/retry/RetryPolicy.java
@@ -53,6 +53,14 @@
         return kind != StatementKind.UNKEYED_WRITE && UNPROVED.contains(type);
     }
 
+    /** Whether the failed attempt may have reached a database, so that another one counts against the retry budget. */
+    public static boolean isCharged(FailureType type) {
+        return UNPROVED.contains(type)
+                || type == FailureType.WRONG_TERM
+                || type == FailureType.NOT_PRIMARY
+                || type == FailureType.CONNECTION_LIMIT;
+    }
+
     /**
      * The pause before the next attempt; empty when there is none.
      *
--- a/core/src/test/java/org/hornbeamspread/core/acknowledgement/ViewLeaseStateTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/acknowledgement/ViewLeaseStateTest.java
@@ -15,14 +15,12 @@
     @ParameterizedTest
     @CsvSource({"0, 949, true", "0, 950, false", "900, 49, true", "900, 50, false", "2000, 0, false"})
     void theLeaseRunsFromTheMomentTheRenewalWasSent(long answeredAfterMs, long checkedAfterMs, boolean fresh) {
-        ViewLeaseState lease = new ViewLeaseState(clock);
-        assertThat(lease.isFresh()).isFalse();
         Instant sentAt = clock.instant();
+        assertThat(ViewLeaseState.NONE.isFreshAt(sentAt)).isFalse();
         clock.advance(Duration.ofMillis(answeredAfterMs));
-        lease.granted(sentAt, Duration.ofSeconds(1));
+        ViewLeaseState lease = ViewLeaseState.NONE.granted(sentAt, Duration.ofSeconds(1));
         clock.advance(Duration.ofMillis(checkedAfterMs));
-        assertThat(lease.isFresh()).isEqualTo(fresh);
-        assertThat(lease.wasFreshAt(sentAt.plusMillis(949))).isTrue();
-        assertThat(lease.wasFreshAt(sentAt.plusMillis(950))).isFalse();
+        assertThat(lease.isFreshAt(clock.instant())).isEqualTo(fresh);
+        assertThat(lease.granted(sentAt.minusMillis(1), Duration.ofSeconds(1))).isEqualTo(lease);
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ConnectionPool.java
@@ -0,0 +1,173 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.IdentityHashMap;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Connect;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.transport.Envelopes;
+import org.hornbeamspread.transport.PeerConnection;
+import org.hornbeamspread.transport.PeerHandler;
+import org.hornbeamspread.transport.PeerTransport;
+
+/**
+ * The database connections that this proxy has open to one database, at most its connection limit.
+ *
+ * <p>A connection serves one user at a time. It comes back by {@link #release} only when every answer on it was read and
+ * no transaction is open; otherwise {@link #discard} closes it, because a late answer or an open transaction would mix
+ * into the next user's work. Owned by the dispatcher's thread.
+ */
+final class ConnectionPool {
+    private static final Duration OPEN_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Dispatcher dispatcher;
+    private final PeerTransport transport;
+    private final Endpoint endpoint;
+    private final String clientId;
+    private final int maxConnections;
+
+    private final Deque<PeerConnection> idle = new ArrayDeque<>();
+    private final Set<PeerConnection> inUse = Collections.newSetFromMap(new IdentityHashMap<>());
+    private final Deque<CompletableFuture<PeerConnection>> waiting = new ArrayDeque<>();
+    private int opening;
+    private boolean closed;
+
+    ConnectionPool(
+            Dispatcher dispatcher, PeerTransport transport, Endpoint endpoint, String clientId, int maxConnections) {
+        this.dispatcher = dispatcher;
+        this.transport = transport;
+        this.endpoint = endpoint;
+        this.clientId = clientId;
+        this.maxConnections = maxConnections;
+    }
+
+    /** Opens connections ahead of need. */
+    void warm(int connections) {
+        idle.removeIf(connection -> !connection.isOpen());
+        while (!closed && openConnections() + opening < Math.min(connections, maxConnections)) {
+            open();
+        }
+    }
+
+    /** A connection for one user. Fails with DATABASE_UNREACHABLE or CONNECTION_LIMIT, nothing sent. */
+    CompletableFuture<PeerConnection> acquire() {
+        CompletableFuture<PeerConnection> user = new CompletableFuture<>();
+        if (closed) {
+            user.completeExceptionally(new FailureException(FailureType.WRONG_HOLDER, "no longer held"));
+            return user;
+        }
+        waiting.addLast(user);
+        serve();
+        return user;
+    }
+
+    /** Gives a connection back that is clean. */
+    void release(PeerConnection connection) {
+        if (!inUse.remove(connection)) {
+            return;
+        }
+        if (closed || !connection.isOpen()) {
+            connection.close();
+        } else {
+            idle.addFirst(connection);
+        }
+        serve();
+    }
+
+    /** Closes a connection that may carry a late answer or an open transaction. */
+    void discard(PeerConnection connection) {
+        connection.close();
+        inUse.remove(connection);
+        serve();
+    }
+
+    /** Closes what is idle; what is in use is closed when it comes back. */
+    void close() {
+        closed = true;
+        idle.forEach(PeerConnection::close);
+        idle.clear();
+        while (!waiting.isEmpty()) {
+            waiting.pollFirst().completeExceptionally(new FailureException(FailureType.WRONG_HOLDER, "no longer held"));
+        }
+    }
+
+    /** Connections that are open, in use or idle. */
+    int openConnections() {
+        return idle.size() + inUse.size();
+    }
+
+    private void serve() {
+        while (!waiting.isEmpty() && !idle.isEmpty()) {
+            PeerConnection connection = idle.pollFirst();
+            if (connection.isOpen()) {
+                inUse.add(connection);
+                waiting.pollFirst().complete(connection);
+            }
+        }
+        while (opening < waiting.size() && openConnections() + opening < maxConnections) {
+            open();
+        }
+    }
+
+    private void open() {
+        opening++;
+        transport
+                .connect(endpoint, OPEN_TIMEOUT, new NoPushes())
+                .thenCompose(this::introduce)
+                .whenCompleteAsync(
+                        (connection, error) -> {
+                            opening--;
+                            opened(connection, error);
+                        },
+                        dispatcher);
+    }
+
+    private CompletableFuture<PeerConnection> introduce(PeerConnection connection) {
+        Envelope connect = Envelope.newBuilder()
+                .setConnect(Connect.newBuilder().setClientId(clientId))
+                .build();
+        return connection.request(connect, OPEN_TIMEOUT).handle((answer, error) -> {
+            if (error != null) {
+                connection.close();
+                throw FailureException.of(error);
+            }
+            return connection;
+        });
+    }
+
+    private void opened(PeerConnection connection, Throwable error) {
+        if (error != null) {
+            if (!waiting.isEmpty()) {
+                waiting.pollFirst().completeExceptionally(notOpened(FailureException.of(error)));
+            }
+        } else if (closed) {
+            connection.close();
+        } else {
+            idle.addLast(connection);
+        }
+        serve();
+    }
+
+    private static FailureException notOpened(FailureException cause) {
+        return cause.type() == FailureType.CONNECTION_LIMIT
+                ? cause
+                : new FailureException(FailureType.DATABASE_UNREACHABLE, cause.type() + " " + cause.detail());
+    }
+
+    /** Databases push nothing on these connections. */
+    private static final class NoPushes implements PeerHandler {
+        @Override
+        public void onRequest(PeerConnection peer, Envelope request, Consumer<Envelope> answer) {
+            answer.accept(Envelopes.failureEnvelope(new FailureException(
+                    FailureType.UNKNOWN_METHOD, request.getBodyCase().name())));
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/Databases.java
@@ -0,0 +1,148 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.DatabaseObservation;
+import org.hornbeamspread.protocol.schema.DatabaseRole;
+import org.hornbeamspread.protocol.schema.GroupView;
+import org.hornbeamspread.protocol.schema.PositionReport;
+import org.hornbeamspread.transport.Envelopes;
+import org.hornbeamspread.transport.PeerTransport;
+
+/**
+ * All databases of the view, as this proxy sees them: one administrative connection each, and the state of their
+ * groups. Owned by the dispatcher's thread.
+ */
+final class Databases {
+    private static final Duration QUESTION_INTERVAL = Duration.ofMillis(100);
+
+    private final Dispatcher dispatcher;
+    private final PeerTransport transport;
+    private final ViewPublisher publisher;
+    private final Map<String, DatabaseLink> links = new HashMap<>();
+    private final Map<String, GroupState> groups = new HashMap<>();
+    private Consumer<PositionReport> listener = report -> {};
+
+    Databases(Dispatcher dispatcher, PeerTransport transport, ViewPublisher publisher) {
+        this.dispatcher = dispatcher;
+        this.transport = transport;
+        this.publisher = publisher;
+    }
+
+    /** Sets who else is told of each report. */
+    void onReport(Consumer<PositionReport> reportListener) {
+        listener = reportListener;
+    }
+
+    /** Starts to ask the primaries for their positions. */
+    void start() {
+        dispatcher.schedule(QUESTION_INTERVAL, this::askPrimaries);
+    }
+
+    /** Follows a new view. */
+    void view(ViewSnapshot view) {
+        for (GroupView group : view.groups()) {
+            GroupState state = group(group.getGroup());
+            state.view(group, view.groupDatabases(group));
+            for (DatabaseEntry entry : group.getDatabasesList()) {
+                links.computeIfAbsent(
+                                entry.getDatabaseId(),
+                                id -> new DatabaseLink(dispatcher, transport, entry, report -> reported(state, report)))
+                        .update(entry);
+            }
+        }
+        links.entrySet().removeIf(link -> {
+            boolean gone = view.database(link.getKey()).isEmpty();
+            if (gone) {
+                link.getValue().close();
+            }
+            return gone;
+        });
+    }
+
+    /** The state of a group; a new one when it was not seen before. */
+    GroupState group(String name) {
+        return groups.computeIfAbsent(name, id -> new GroupState());
+    }
+
+    Optional<DatabaseLink> link(String databaseId) {
+        return Optional.ofNullable(links.get(databaseId));
+    }
+
+    /** What control wants to know of each database. */
+    List<DatabaseObservation> observations(ViewSnapshot view) {
+        List<DatabaseObservation> observations = new ArrayList<>();
+        for (DatabaseEntry entry : view.databases()) {
+            DatabaseLink link = links.get(entry.getDatabaseId());
+            if (link != null) {
+                observations.add(DatabaseObservation.newBuilder()
+                        .setDatabaseId(entry.getDatabaseId())
+                        .setIncarnation(entry.getIncarnation())
+                        .setReachable(link.isConnected())
+                        .setSilentMs(
+                                (int) Math.min(Integer.MAX_VALUE, link.silence().toMillis()))
+                        .build());
+            }
+        }
+        return observations;
+    }
+
+    /**
+     * The primary's position at a moment after this call, proven to be of the group's current primary. Fails with
+     * NO_PRIMARY, VIEW_EXPIRED or DATABASE_UNREACHABLE.
+     */
+    CompletableFuture<LogPosition> askPrimary(String groupName) {
+        Instant askedAt = dispatcher.clock().instant();
+        LeasedView leased = publisher.current();
+        Optional<GroupView> group = leased.view().group(groupName);
+        if (group.isEmpty() || group.get().getPrimaryId().isEmpty()) {
+            return failed(FailureType.NO_PRIMARY, groupName);
+        }
+        if (!leased.isFreshAt(askedAt)) {
+            return failed(FailureType.VIEW_EXPIRED, groupName);
+        }
+        DatabaseLink link = links.get(group.get().getPrimaryId());
+        if (link == null) {
+            return failed(FailureType.DATABASE_UNREACHABLE, group.get().getPrimaryId());
+        }
+        long term = group.get().getTerm();
+        return link.askPosition().thenApply(report -> sampled(groupName, term, askedAt, report));
+    }
+
+    private void reported(GroupState state, PositionReport report) {
+        state.report(report, dispatcher.clock().instant());
+        listener.accept(report);
+    }
+
+    private LogPosition sampled(String groupName, long term, Instant askedAt, PositionReport report) {
+        if (report.getRole() != DatabaseRole.PRIMARY || report.getTerm() != term) {
+            throw new FailureException(FailureType.NOT_PRIMARY, report.getDatabaseId());
+        }
+        LogPosition position = Envelopes.position(report.getSynced());
+        group(groupName).sample(askedAt, position);
+        return position;
+    }
+
+    private void askPrimaries() {
+        links.values().forEach(DatabaseLink::check);
+        for (GroupView group : publisher.current().view().groups()) {
+            askPrimary(group.getGroup()).exceptionally(error -> LogPosition.NONE);
+        }
+        dispatcher.schedule(QUESTION_INTERVAL, this::askPrimaries);
+    }
+
+    private static <T> CompletableFuture<T> failed(FailureType type, String detail) {
+        return CompletableFuture.failedFuture(new FailureException(type, detail));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/HolderExecutor.java
@@ -0,0 +1,41 @@
+package org.hornbeamspread.proxy;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.ProxyEntry;
+import org.hornbeamspread.protocol.schema.StatementsExecuted;
+
+/** Runs statements through the holder of the database, which may be this proxy. Owned by the dispatcher's thread. */
+final class HolderExecutor implements DatabaseExecutor {
+    private final String proxyId;
+    private final String region;
+    private final HeldDatabases held;
+    private final RelayLinks relays;
+
+    HolderExecutor(String proxyId, String region, HeldDatabases held, RelayLinks relays) {
+        this.proxyId = proxyId;
+        this.region = region;
+        this.held = held;
+        this.relays = relays;
+    }
+
+    @Override
+    public CompletableFuture<StatementsExecuted> execute(
+            ViewSnapshot view, DatabaseEntry database, WorkOrder order, ExecuteStatements statements) {
+        if (database.getHolderProxyId().isEmpty()) {
+            return CompletableFuture.failedFuture(new FailureException(
+                    FailureType.DATABASE_UNREACHABLE, database.getDatabaseId() + " has no holder"));
+        }
+        if (database.getHolderProxyId().equals(proxyId)) {
+            return held.execute(database.getDatabaseId(), database.getHolderEpoch(), order, statements);
+        }
+        Optional<ProxyEntry> holder = view.proxy(database.getHolderProxyId());
+        boolean otherRegion =
+                holder.map(proxy -> !proxy.getRegion().equals(region)).orElse(false);
+        return relays.execute(holder, otherRegion, database, order, statements);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMain.java
@@ -0,0 +1,44 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Duration;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.runtime.CommandLine;
+import org.hornbeamspread.runtime.MonotonicClock;
+
+/** Starts the proxy daemon. */
+public final class ProxyMain {
+    private static final String BINARY = "hornbeamspread-proxy";
+    private static final int EXIT_FAILED = 1;
+
+    /** How long requests in progress may take to finish once no more are accepted. */
+    private static final Duration FINISH_LIMIT = Duration.ofSeconds(60);
+
+    private ProxyMain() {}
+
+    /** Runs until SIGTERM. Exit code 2 for a refused setting. */
+    @SuppressWarnings("ShutdownHook")
+    public static void main(String[] arguments) {
+        ProxyOptions options = new ProxyOptions();
+        if (CommandLine.answered(BINARY, options, System.out, arguments)) {
+            return;
+        }
+        try {
+            ProxySettings settings = ProxySettings.of(CommandLine.parse(options, System.getenv(), arguments));
+            ProxyServer server = new ProxyServer(settings, new MonotonicClock());
+            server.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> drain(server), "drain"));
+        } catch (FailureException e) {
+            System.err.println(BINARY + ": " + e.getMessage());
+            System.exit(e.type() == FailureType.INVALID_SETTING ? CommandLine.EXIT_USAGE : EXIT_FAILED);
+        }
+    }
+
+    private static void drain(ProxyServer server) {
+        try {
+            server.drain(FINISH_LIMIT);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMetrics.java
@@ -0,0 +1,90 @@
+package org.hornbeamspread.proxy;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.hornbeamspread.core.misc.FailureType;
+
+/** The proxy's counters. Safe for any thread. */
+final class ProxyMetrics {
+    private final Counter refusals;
+    private final Counter retries;
+    private final Counter statements;
+    private final Counter reads;
+    private final Counter relayBytes;
+    private final Gauge requests;
+    private final Gauge queue;
+    private final Gauge connections;
+    private final Histogram latency;
+
+    ProxyMetrics(PrometheusRegistry registry) {
+        refusals = counter(registry, "hornbeamspread_refusals_total", "Failed answers by type", "type", "rank");
+        retries = counter(registry, "hornbeamspread_retries_total", "Further attempts by the failure before", "type");
+        statements = counter(
+                registry,
+                "hornbeamspread_requests_total",
+                "Answers by kind, rank and effect",
+                "kind",
+                "rank",
+                "effect");
+        reads = counter(registry, "hornbeamspread_reads_total", "Reads served, by source", "source");
+        relayBytes =
+                counter(registry, "hornbeamspread_relay_bytes_total", "Bytes relayed between proxies", "other_region");
+        requests = Gauge.builder()
+                .name("hornbeamspread_requests_in_progress")
+                .help("Requests in progress")
+                .register(registry);
+        queue = Gauge.builder()
+                .name("hornbeamspread_database_statements")
+                .help("Statements that wait or run at a held database")
+                .labelNames("database")
+                .register(registry);
+        connections = Gauge.builder()
+                .name("hornbeamspread_database_connections")
+                .help("Connections open to a held database")
+                .labelNames("database")
+                .register(registry);
+        latency = Histogram.builder()
+                .name("hornbeamspread_request_seconds")
+                .help("Time to answer, by rank")
+                .labelNames("rank")
+                .classicOnly()
+                .classicUpperBounds(0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10)
+                .register(registry);
+    }
+
+    private static Counter counter(PrometheusRegistry registry, String name, String help, String... labels) {
+        return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+    }
+
+    void refused(FailureType type, String rank) {
+        refusals.labelValues(type.name(), rank).inc();
+    }
+
+    void retried(FailureType type) {
+        retries.labelValues(type.name()).inc();
+    }
+
+    void answered(String kind, String rank, String effect, double seconds) {
+        statements.labelValues(kind, rank, effect).inc();
+        latency.labelValues(rank).observe(seconds);
+    }
+
+    void readServed(boolean fromReplica) {
+        reads.labelValues(fromReplica ? "replica" : "primary").inc();
+    }
+
+    void relayed(boolean otherRegion, int bytes) {
+        relayBytes.labelValues(Boolean.toString(otherRegion)).inc(bytes);
+    }
+
+    void inProgress(int count) {
+        requests.set(count);
+    }
+
+    void held(String databaseId, int waiting, int open) {
+        queue.labelValues(databaseId).set(waiting);
+        connections.labelValues(databaseId).set(open);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxySettings.java
@@ -0,0 +1,128 @@
+package org.hornbeamspread.proxy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.transport.AddressTranslator;
+
+/**
+ * The proxy's checked settings.
+ *
+ * @param proxyId unique among all proxies
+ * @param peerEndpoint where other proxies reach this one
+ * @param httpEndpoint where callers reach this one
+ * @param failureDomain where this instance is
+ * @param region where this instance is
+ * @param control peer endpoints of the control members
+ * @param translator maps announced addresses
+ * @param drainGraceMs how long requests are accepted after SIGTERM
+ * @param idleTransactionMs how long a transaction may be idle
+ * @param maxRequests requests in progress at once
+ * @param networkThreads threads of the peer transport
+ */
+record ProxySettings(
+        String proxyId,
+        Endpoint peerEndpoint,
+        Endpoint httpEndpoint,
+        String failureDomain,
+        String region,
+        List<Endpoint> control,
+        AddressTranslator translator,
+        long drainGraceMs,
+        long idleTransactionMs,
+        int maxRequests,
+        int networkThreads) {
+    private static final long MAX_MS = 600_000;
+    private static final long MIN_IDLE_MS = 100;
+    private static final int MAX_REQUESTS = 100_000;
+    private static final int MAX_THREADS = 64;
+
+    ProxySettings {
+        checkName("--proxy-id", proxyId);
+        checkName("--failure-domain", failureDomain);
+        checkName("--region", region);
+        checkRange("--drain-grace-ms", drainGraceMs, 0, MAX_MS);
+        checkRange("--idle-transaction-ms", idleTransactionMs, MIN_IDLE_MS, MAX_MS);
+        checkRange("--max-requests", maxRequests, 1, MAX_REQUESTS);
+        checkRange("--network-threads", networkThreads, 1, MAX_THREADS);
+        control = List.copyOf(control);
+        if (control.isEmpty()) {
+            throw refused("--control names no endpoint");
+        }
+    }
+
+    /** Checks options. Fails with INVALID_SETTING. */
+    static ProxySettings of(ProxyOptions options) {
+        return new ProxySettings(
+                options.proxyId,
+                AddressTranslator.parse(options.peerEndpoint),
+                AddressTranslator.parse(options.httpEndpoint),
+                options.failureDomain,
+                options.region,
+                endpoints(options.control),
+                translator(options.addressMap),
+                options.drainGraceMs,
+                options.idleTransactionMs,
+                options.maxRequests,
+                options.networkThreads);
+    }
+
+    private static List<Endpoint> endpoints(String list) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (String part : list.split(",", -1)) {
+            if (!part.isBlank()) {
+                endpoints.add(AddressTranslator.parse(part.strip()));
+            }
+        }
+        return endpoints;
+    }
+
+    private static AddressTranslator translator(String file) {
+        if (file.isEmpty()) {
+            return AddressTranslator.identity();
+        }
+        Map<Endpoint, Endpoint> table = new HashMap<>();
+        for (String line : readLines(file)) {
+            String[] sides = line.strip().split("=", -1);
+            if (line.isBlank()) {
+                continue;
+            }
+            if (sides.length != 2) {
+                throw refused("--address-map has a line that is not announced=reached: " + line);
+            }
+            table.put(AddressTranslator.parse(sides[0]), AddressTranslator.parse(sides[1]));
+        }
+        return AddressTranslator.table(table);
+    }
+
+    private static List<String> readLines(String file) {
+        try {
+            return Files.readAllLines(Path.of(file));
+        } catch (IOException e) {
+            throw refused("--address-map can't be read: " + e);
+        }
+    }
+
+    private static void checkName(String flag, String value) {
+        if (value.isBlank() || value.indexOf(':') >= 0) {
+            throw refused(flag + " must be given and have no colon");
+        }
+    }
+
+    private static void checkRange(String flag, long value, long min, long max) {
+        if (value < min || value > max) {
+            throw refused(flag + " must be " + min + " to " + max);
+        }
+    }
+
+    private static FailureException refused(String detail) {
+        return new FailureException(FailureType.INVALID_SETTING, detail);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/RelayLinks.java
@@ -0,0 +1,157 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.Consumer;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.ProxyEntry;
+import org.hornbeamspread.protocol.schema.RelayExecute;
+import org.hornbeamspread.protocol.schema.RelayExecuted;
+import org.hornbeamspread.protocol.schema.StatementsExecuted;
+import org.hornbeamspread.transport.Envelopes;
+import org.hornbeamspread.transport.PeerConnection;
+import org.hornbeamspread.transport.PeerHandler;
+import org.hornbeamspread.transport.PeerTransport;
+
+/**
+ * The connections to other proxies, over which statements are relayed to the holder of a database. One connection for
+ * each proxy carries all relayed statements; answers are matched by request id. Owned by the dispatcher's thread.
+ */
+final class RelayLinks {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+    /** Given to the holder's refusal to come back: it proves that the statement did not run. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(10);
+
+    private final Dispatcher dispatcher;
+    private final PeerTransport transport;
+    private final PeerHandler handler;
+    private final ProxyMetrics metrics;
+    private final Map<Endpoint, CompletableFuture<PeerConnection>> connections = new HashMap<>();
+
+    RelayLinks(Dispatcher dispatcher, PeerTransport transport, PeerHandler handler, ProxyMetrics metrics) {
+        this.dispatcher = dispatcher;
+        this.transport = transport;
+        this.handler = handler;
+        this.metrics = metrics;
+    }
+
+    /** Runs statements at the holder of a database. Completes on the dispatcher's thread. */
+    CompletableFuture<StatementsExecuted> execute(
+            Optional<ProxyEntry> holder,
+            boolean otherRegion,
+            DatabaseEntry database,
+            WorkOrder order,
+            ExecuteStatements statements) {
+        if (holder.isEmpty()) {
+            return CompletableFuture.failedFuture(
+                    new FailureException(FailureType.DATABASE_UNREACHABLE, "the holder is not in the view"));
+        }
+        return connection(holder.get().getPeer())
+                .thenCompose(peer -> send(peer, otherRegion, database, order, statements))
+                .thenApply(RelayLinks::executed);
+    }
+
+    private CompletableFuture<Envelope> send(
+            PeerConnection peer,
+            boolean otherRegion,
+            DatabaseEntry database,
+            WorkOrder order,
+            ExecuteStatements statements) {
+        Instant now = dispatcher.clock().instant();
+        Duration remaining = Duration.between(now, order.deadline());
+        if (remaining.compareTo(ANSWER_MARGIN) <= 0) {
+            return CompletableFuture.failedFuture(
+                    new FailureException(FailureType.DEADLINE_BEFORE_START, database.getDatabaseId()));
+        }
+        Envelope request = Envelope.newBuilder()
+                .setRelayExecute(RelayExecute.newBuilder()
+                        .setDatabaseId(database.getDatabaseId())
+                        .setHolderEpoch(database.getHolderEpoch())
+                        .setRank(order.rank())
+                        .setCallerId(order.callerId())
+                        .setTimeoutMs((int) remaining.minus(ANSWER_MARGIN).toMillis())
+                        .setExecute(statements))
+                .build();
+        metrics.relayed(otherRegion, request.getSerializedSize());
+        CompletableFuture<Envelope> result = new CompletableFuture<>();
+        peer.request(request, remaining)
+                .whenCompleteAsync(
+                        (answer, error) -> {
+                            if (error != null) {
+                                result.completeExceptionally(afterSend(FailureException.of(error)));
+                            } else {
+                                metrics.relayed(otherRegion, answer.getSerializedSize());
+                                result.complete(answer);
+                            }
+                        },
+                        dispatcher);
+        return result;
+    }
+
+    private CompletableFuture<PeerConnection> connection(Endpoint endpoint) {
+        CompletableFuture<PeerConnection> known = connections.get(endpoint);
+        if (known != null && isUsable(known)) {
+            return known;
+        }
+        CompletableFuture<PeerConnection> opened = new CompletableFuture<>();
+        connections.put(endpoint, opened);
+        transport
+                .connect(endpoint, CONNECT_TIMEOUT, handler)
+                .whenCompleteAsync(
+                        (connection, error) -> {
+                            if (error != null) {
+                                connections.remove(endpoint, opened);
+                                opened.completeExceptionally(new FailureException(
+                                        FailureType.DATABASE_UNREACHABLE, "the holder can't be reached"));
+                            } else {
+                                opened.complete(connection);
+                            }
+                        },
+                        dispatcher);
+        return opened;
+    }
+
+    private static boolean isUsable(CompletableFuture<PeerConnection> connection) {
+        return !connection.isDone()
+                || (!connection.isCompletedExceptionally() && connection.join().isOpen());
+    }
+
+    private static StatementsExecuted executed(Envelope answer) {
+        RelayExecuted relayed = answer.getRelayExecuted();
+        if (relayed.hasFailure()) {
+            throw new CompletionException(Envelopes.exception(relayed.getFailure()));
+        }
+        return relayed.getExecuted();
+    }
+
+    private static FailureException afterSend(FailureException failure) {
+        return switch (failure.type()) {
+            case REQUEST_TIMEOUT -> new FailureException(FailureType.TIMEOUT_AFTER_SEND, "relayed");
+            case CONNECTION_LOST -> new FailureException(FailureType.CONNECTION_LOST_AFTER_SEND, "relayed");
+            case CONNECTION_REFUSED -> new FailureException(FailureType.DATABASE_UNREACHABLE, "the holder is gone");
+            default -> failure;
+        };
+    }
+
+    /** Answers nothing: other proxies send requests to the peer endpoint, not over these connections. */
+    static PeerHandler refuseRequests() {
+        return new PeerHandler() {
+            @Override
+            public void onRequest(PeerConnection peer, Envelope request, Consumer<Envelope> answer) {
+                answer.accept(Envelopes.failureEnvelope(new FailureException(
+                        FailureType.UNKNOWN_METHOD, request.getBodyCase().name())));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/StatementRequest.java
@@ -0,0 +1,107 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.retry.StatementKind;
+import org.hornbeamspread.core.routing.GroupRouting;
+import org.hornbeamspread.core.session.SessionToken;
+import org.hornbeamspread.protocol.schema.ExecuteRequest;
+import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.ServiceDefinition;
+
+/**
+ * A checked request to execute statements.
+ *
+ * @param request as it arrived
+ * @param group the database group that its routing key maps to
+ * @param token what the session has seen
+ * @param kind what a second execution would do
+ * @param allowance how old a read may be; zero for the primary only
+ * @param order on whose behalf, and until when
+ */
+record StatementRequest(
+        ExecuteRequest request,
+        String group,
+        SessionToken token,
+        StatementKind kind,
+        Duration allowance,
+        WorkOrder order) {
+    private static final int FALLBACK_TIMEOUT_MS = 2_000;
+    private static final int MAX_TIMEOUT_MS = 60_000;
+    private static final int MAX_KEY_CHARACTERS = 256;
+
+    /**
+     * Checks a request against a view. Fails with NO_VIEW, INVALID_REQUEST, INVALID_TOKEN, UNKNOWN_SERVICE,
+     * UNKNOWN_RANK, UNKNOWN_GROUP or KEY_REQUIRED.
+     */
+    static StatementRequest of(ExecuteRequest request, ViewSnapshot view, Instant now) {
+        ServiceDefinition service = service(view, request.getService());
+        checkRank(view, request.getRank());
+        if (request.getStatementsCount() == 0) {
+            throw new FailureException(FailureType.INVALID_REQUEST, "no statements");
+        }
+        StatementKind kind = kind(request);
+        int timeoutMs = timeoutMs(request.getTimeoutMs(), service);
+        return new StatementRequest(
+                request,
+                GroupRouting.groupOf(service.getGroupsList(), request.getRoutingKey()),
+                SessionToken.decode(request.getSessionToken()),
+                kind,
+                allowance(request, service),
+                new WorkOrder(request.getRank(), request.getCallerId(), now.plusMillis(timeoutMs)));
+    }
+
+    /** The service of a request. */
+    static ServiceDefinition service(ViewSnapshot view, String name) {
+        if (!view.isConfigured()) {
+            throw new FailureException(FailureType.NO_VIEW, "not configured");
+        }
+        return view.service(name).orElseThrow(() -> new FailureException(FailureType.UNKNOWN_SERVICE, name));
+    }
+
+    static void checkRank(ViewSnapshot view, String rank) {
+        if (view.rank(rank).isEmpty()) {
+            throw new FailureException(FailureType.UNKNOWN_RANK, rank);
+        }
+    }
+
+    static int timeoutMs(int requestedMs, ServiceDefinition service) {
+        int timeoutMs = requestedMs != 0 ? requestedMs : service.getDefaultTimeoutMs();
+        if (timeoutMs < 0 || timeoutMs > MAX_TIMEOUT_MS) {
+            throw new FailureException(FailureType.INVALID_REQUEST, "timeout_ms above " + MAX_TIMEOUT_MS);
+        }
+        return timeoutMs == 0 ? FALLBACK_TIMEOUT_MS : timeoutMs;
+    }
+
+    /** The statements as a database takes them, at a term; term 0 for reads. */
+    ExecuteStatements statements(long term) {
+        return ExecuteStatements.newBuilder()
+                .setTerm(term)
+                .setReadOnly(kind == StatementKind.READ)
+                .addAllStatements(request.getStatementsList())
+                .setIdempotencyKey(kind == StatementKind.READ ? "" : request.getIdempotencyKey())
+                .build();
+    }
+
+    private static StatementKind kind(ExecuteRequest request) {
+        if (request.getReadOnly()) {
+            return StatementKind.READ;
+        }
+        String key = request.getIdempotencyKey();
+        if (key.length() > MAX_KEY_CHARACTERS) {
+            throw new FailureException(FailureType.INVALID_REQUEST, "the idempotency key is too long");
+        }
+        if (key.isEmpty() && request.getNonRepeatable()) {
+            throw new FailureException(FailureType.KEY_REQUIRED, request.getService());
+        }
+        return key.isEmpty() ? StatementKind.UNKEYED_WRITE : StatementKind.KEYED_WRITE;
+    }
+
+    private static Duration allowance(ExecuteRequest request, ServiceDefinition service) {
+        long serviceMs = Integer.toUnsignedLong(service.getStalenessAllowanceMs());
+        long requestMs = Integer.toUnsignedLong(request.getStalenessAllowanceMs());
+        return Duration.ofMillis(requestMs == 0 ? serviceMs : Math.min(serviceMs, requestMs));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/TimerQueue.java
@@ -0,0 +1,45 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Timers in order of time. Not safe for use by several threads. */
+final class TimerQueue {
+    private final Clock clock;
+    private final PriorityQueue<Entry> entries = new PriorityQueue<>(
+            Comparator.<Entry, Instant>comparing(entry -> entry.at).thenComparingLong(entry -> entry.sequence));
+    private long nextSequence;
+
+    TimerQueue(Clock clock) {
+        this.clock = clock;
+    }
+
+    Dispatcher.Timer schedule(Duration pause, Runnable work) {
+        Entry entry = new Entry(clock.instant().plus(pause), nextSequence++, work);
+        entries.add(entry);
+        return () -> entries.remove(entry);
+    }
+
+    /** Runs every timer that is due. */
+    void runDue() {
+        Instant now = clock.instant();
+        while (!entries.isEmpty() && !entries.peek().at.isAfter(now)) {
+            entries.poll().work.run();
+        }
+    }
+
+    private static final class Entry {
+        private final Instant at;
+        private final long sequence;
+        private final Runnable work;
+
+        Entry(Instant at, long sequence, Runnable work) {
+            this.at = at;
+            this.sequence = sequence;
+            this.work = work;
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ViewPublisher.java
@@ -0,0 +1,41 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import org.hornbeamspread.protocol.schema.ViewLease;
+
+/** Holds the leased view that everything in this proxy acts on. One thread writes it, any thread reads it. */
+final class ViewPublisher {
+    private final Clock clock;
+    private volatile LeasedView current = LeasedView.NONE;
+
+    ViewPublisher(Clock clock) {
+        this.clock = clock;
+    }
+
+    LeasedView current() {
+        return current;
+    }
+
+    /** Whether the view may be trusted now. */
+    boolean isFresh() {
+        return current.isFreshAt(clock.instant());
+    }
+
+    /**
+     * Takes an answer of control in. An answer of an earlier leader changes nothing and renews nothing.
+     *
+     * @param sentAt when the renewal was sent
+     * @return whether there is a new snapshot to act on
+     */
+    boolean apply(ViewLease lease, Instant sentAt) {
+        LeasedView before = current;
+        if (lease.getLeaderTerm() < before.view().leaderTerm()) {
+            return false;
+        }
+        ViewSnapshot next = before.view().apply(lease);
+        current = new LeasedView(next, before.lease().granted(sentAt, Duration.ofMillis(lease.getLeaseMs())));
+        return next != before.view();
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ViewSnapshot.java
@@ -0,0 +1,141 @@
+package org.hornbeamspread.proxy;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.hornbeamspread.protocol.schema.Configuration;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.GroupDefinition;
+import org.hornbeamspread.protocol.schema.GroupView;
+import org.hornbeamspread.protocol.schema.ProxyEntry;
+import org.hornbeamspread.protocol.schema.RankDefinition;
+import org.hornbeamspread.protocol.schema.ServiceDefinition;
+import org.hornbeamspread.protocol.schema.ViewLease;
+
+/**
+ * What control told this proxy about the system, at one version. Immutable; a newer one is made by {@link #apply}.
+ * Terms of groups and the configuration's version only move forward, whatever an answer says.
+ */
+final class ViewSnapshot {
+    /** What a proxy knows before control's first answer. */
+    static final ViewSnapshot NONE = new ViewSnapshot(0, 0, Configuration.getDefaultInstance(), Map.of(), Map.of());
+
+    private final long leaderTerm;
+    private final long version;
+    private final Configuration configuration;
+    private final Map<String, GroupView> groups;
+    private final Map<String, ProxyEntry> proxies;
+
+    private final Map<String, ServiceDefinition> services = new HashMap<>();
+    private final Map<String, GroupDefinition> groupDefinitions = new HashMap<>();
+    private final Map<String, RankDefinition> ranks = new HashMap<>();
+    private final Map<String, DatabaseEntry> databases = new HashMap<>();
+
+    private ViewSnapshot(
+            long leaderTerm,
+            long version,
+            Configuration configuration,
+            Map<String, GroupView> groups,
+            Map<String, ProxyEntry> proxies) {
+        this.leaderTerm = leaderTerm;
+        this.version = version;
+        this.configuration = configuration;
+        this.groups = Map.copyOf(groups);
+        this.proxies = Map.copyOf(proxies);
+        configuration.getServicesList().forEach(service -> services.put(service.getName(), service));
+        configuration.getGroupsList().forEach(group -> groupDefinitions.put(group.getName(), group));
+        configuration.getRanksList().forEach(rank -> ranks.put(rank.getName(), rank));
+        groups.values()
+                .forEach(group -> group.getDatabasesList()
+                        .forEach(database -> databases.put(database.getDatabaseId(), database)));
+    }
+
+    /** This snapshot with an answer of control taken in; itself when the answer brings nothing new. */
+    ViewSnapshot apply(ViewLease lease) {
+        if (lease.getLeaderTerm() < leaderTerm || isNothingNew(lease)) {
+            return this;
+        }
+        Map<String, GroupView> nextGroups = new HashMap<>(lease.getFull() ? Map.of() : groups);
+        for (GroupView group : lease.getGroupsList()) {
+            GroupView known = groups.get(group.getGroup());
+            nextGroups.put(group.getGroup(), known != null && known.getTerm() > group.getTerm() ? known : group);
+        }
+        lease.getRemovedGroupsList().forEach(nextGroups::remove);
+        Map<String, ProxyEntry> nextProxies = new HashMap<>();
+        if (lease.getProxiesChanged() || lease.getFull()) {
+            lease.getProxiesList().forEach(proxy -> nextProxies.put(proxy.getProxyId(), proxy));
+        }
+        boolean newer = lease.hasConfiguration() && lease.getConfiguration().getVersion() >= configuration.getVersion();
+        return new ViewSnapshot(
+                lease.getLeaderTerm(),
+                lease.getViewVersion(),
+                newer ? lease.getConfiguration() : configuration,
+                nextGroups,
+                nextProxies.isEmpty() ? proxies : nextProxies);
+    }
+
+    private boolean isNothingNew(ViewLease lease) {
+        return !lease.getFull()
+                && lease.getLeaderTerm() == leaderTerm
+                && lease.getViewVersion() == version
+                && !lease.hasConfiguration()
+                && !lease.getProxiesChanged()
+                && lease.getGroupsCount() + lease.getRemovedGroupsCount() == 0;
+    }
+
+    long leaderTerm() {
+        return leaderTerm;
+    }
+
+    long version() {
+        return version;
+    }
+
+    long configurationVersion() {
+        return configuration.getVersion();
+    }
+
+    /** Whether a configuration has been received. */
+    boolean isConfigured() {
+        return configuration.getVersion() > 0;
+    }
+
+    Collection<GroupView> groups() {
+        return groups.values();
+    }
+
+    Optional<GroupView> group(String name) {
+        return Optional.ofNullable(groups.get(name));
+    }
+
+    Optional<ServiceDefinition> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    Optional<RankDefinition> rank(String name) {
+        return Optional.ofNullable(ranks.get(name));
+    }
+
+    Configuration configuration() {
+        return configuration;
+    }
+
+    /** How many databases a group is declared to have; at least as many as the view lists. */
+    int groupDatabases(GroupView group) {
+        GroupDefinition definition = groupDefinitions.get(group.getGroup());
+        return Math.max(definition == null ? 0 : definition.getDatabases(), group.getDatabasesCount());
+    }
+
+    Optional<DatabaseEntry> database(String databaseId) {
+        return Optional.ofNullable(databases.get(databaseId));
+    }
+
+    Collection<DatabaseEntry> databases() {
+        return databases.values();
+    }
+
+    Optional<ProxyEntry> proxy(String proxyId) {
+        return Optional.ofNullable(proxies.get(proxyId));
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/package-info.java
@@ -0,0 +1,2 @@
+/** The proxy daemon: adapters around the decisions of {@code core}. */
+package org.hornbeamspread.proxy;
--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/FakeControl.java
@@ -0,0 +1,108 @@
+package org.hornbeamspread.proxy;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.GroupView;
+import org.hornbeamspread.protocol.schema.ProxyEntry;
+import org.hornbeamspread.protocol.schema.RenewView;
+import org.hornbeamspread.protocol.schema.ViewChanged;
+import org.hornbeamspread.transport.Envelopes;
+import org.hornbeamspread.transport.PeerConnection;
+import org.hornbeamspread.transport.PeerHandler;
+import org.hornbeamspread.transport.PeerServer;
+import org.hornbeamspread.transport.PeerTransport;
+
+/** A control leader on loopback that grants whatever view the test gives it. */
+final class FakeControl implements PeerHandler {
+    private final PeerServer server;
+    private final Map<String, ProxyEntry> proxies = new ConcurrentHashMap<>();
+    private final Map<String, RenewView> renewals = new ConcurrentHashMap<>();
+    private final List<PeerConnection> connections = new CopyOnWriteArrayList<>();
+    private volatile GroupView group = GroupView.getDefaultInstance();
+    private volatile long version;
+    private volatile boolean granting = true;
+
+    FakeControl(PeerTransport transport) {
+        server = transport
+                .listen(Endpoint.newBuilder().setHost("127.0.0.1").build(), this)
+                .join();
+    }
+
+    Endpoint endpoint() {
+        return Endpoint.newBuilder().setHost("127.0.0.1").setPort(server.port()).build();
+    }
+
+    /** Publishes a view, and waits until these proxies have confirmed it. */
+    void publish(GroupView next, String... confirmedBy) {
+        synchronized (this) {
+            version++;
+            group = next;
+        }
+        push();
+        for (String proxyId : confirmedBy) {
+            awaitConfirmed(proxyId, version);
+        }
+    }
+
+    /** The last renewal of a proxy. */
+    RenewView renewal(String proxyId) {
+        return renewals.get(proxyId);
+    }
+
+    /** Stops or starts to grant leases. */
+    void grant(boolean on) {
+        granting = on;
+    }
+
+    @Override
+    public void onOpen(PeerConnection connection) {
+        connections.add(connection);
+    }
+
+    @Override
+    public void onRequest(PeerConnection connection, Envelope request, Consumer<Envelope> answer) {
+        if (!granting) {
+            answer.accept(Envelopes.failureEnvelope(new FailureException(FailureType.NOT_LEADER, "")));
+            return;
+        }
+        RenewView renewal = request.getRenewView();
+        String proxyId = renewal.getProxy().getProxyId();
+        boolean isNew = proxies.put(proxyId, renewal.getProxy()) == null;
+        Envelope lease;
+        synchronized (this) {
+            version += isNew ? 1 : 0;
+            lease = Envelope.newBuilder()
+                    .setViewLease(TestViews.lease(version, group, List.copyOf(proxies.values())))
+                    .build();
+            renewals.put(proxyId, renewal);
+            notifyAll();
+        }
+        answer.accept(lease);
+        if (isNew) {
+            push();
+        }
+    }
+
+    private void push() {
+        connections.forEach(connection -> connection.push(Envelope.newBuilder()
+                .setViewChanged(ViewChanged.getDefaultInstance())
+                .build()));
+    }
+
+    private synchronized void awaitConfirmed(String proxyId, long wanted) {
+        while (!renewals.containsKey(proxyId) || renewals.get(proxyId).getViewVersion() < wanted) {
+            try {
+                wait();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/ManualDispatcher.java
@@ -0,0 +1,57 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.hornbeamspread.core.misc.PausedClock;
+
+/** A dispatcher that a test steps by hand, on a paused clock. */
+final class ManualDispatcher implements Dispatcher {
+    private final PausedClock clock = new PausedClock();
+    private final TimerQueue timers = new TimerQueue(clock);
+    private final Deque<Runnable> work = new ArrayDeque<>();
+
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public void execute(Runnable item) {
+        work.add(item);
+    }
+
+    @Override
+    public boolean tryExecute(Runnable item) {
+        return work.add(item);
+    }
+
+    @Override
+    public Timer schedule(Duration pause, Runnable item) {
+        return timers.schedule(pause, item);
+    }
+
+    /** Runs what waits and what is due. */
+    void run() {
+        do {
+            timers.runDue();
+            while (!work.isEmpty()) {
+                work.poll().run();
+            }
+        } while (!work.isEmpty());
+    }
+
+    /** Lets time pass as one jump, as for a process that was stopped. */
+    void sleep(Duration step) {
+        clock.advance(step);
+    }
+
+    /** Lets time pass in steps of one millisecond. */
+    void advance(Duration step) {
+        for (long i = 0; i < step.toMillis(); i++) {
+            clock.advance(Duration.ofMillis(1));
+            run();
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/WritePathTest.java
@@ -0,0 +1,204 @@
+package org.hornbeamspread.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.session.SessionToken;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.ExecuteRequest;
+import org.hornbeamspread.protocol.schema.ExecuteResponse;
+import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.Position;
+import org.hornbeamspread.protocol.schema.PositionReport;
+import org.hornbeamspread.protocol.schema.Statement;
+import org.hornbeamspread.protocol.schema.StatementsExecuted;
+import org.hornbeamspread.transport.PeerTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Writes against a paused clock, with the database's answer, the reports and the lease under the test's control. */
+final class WritePathTest {
+    private static final Duration LEASE = Duration.ofSeconds(1);
+
+    private final ManualDispatcher dispatcher = new ManualDispatcher();
+    private final ViewPublisher publisher = new ViewPublisher(dispatcher.clock());
+    private final PeerTransport transport = new PeerTransport(1);
+    private final Databases databases = new Databases(dispatcher, transport, publisher);
+    private final InFlight inFlight = new InFlight();
+    private final List<ExecuteStatements> sent = new ArrayList<>();
+    private final List<CompletableFuture<StatementsExecuted>> answers = new ArrayList<>();
+    private final WritePath writes = new WritePath(dispatcher, publisher, databases, this::executeAtDatabase, inFlight);
+    private long version;
+
+    @BeforeEach
+    void grantFirstLease() {
+        view(2, true);
+        report("a", 5);
+    }
+
+    @AfterEach
+    void close() {
+        transport.close();
+    }
+
+    @Test
+    void aWriteIsAnsweredOnceTwoDatabasesHoldIt() {
+        CompletableFuture<ExecuteResponse> write = write("key-1");
+        answers.get(0).complete(executed(2, 7));
+        assertThat(write.isDone()).isFalse();
+        report("b", 6);
+        assertThat(write.isDone()).isFalse();
+        report("b", 7);
+        assertThat(write.join().getEffect().name()).isEqualTo("DONE");
+        SessionToken token = SessionToken.decode(write.join().getSessionToken());
+        assertThat(token.seen(TestViews.GROUP).orElseThrow().lastWrite().indexEntries())
+                .isEqualTo(7);
+    }
+
+    /** The proxy is stopped at a point on the way, and wakes after its lease: it must not acknowledge. */
+    @ParameterizedTest
+    @ValueSource(strings = {"before the answer", "before the majority", "between the majority and the answer"})
+    void aProxyThatSleptThroughItsLeaseDoesNotAcknowledge(String frozen) {
+        CompletableFuture<ExecuteResponse> write = write("key-1");
+        freezeIf(frozen.equals("before the answer"));
+        answers.get(0).complete(executed(2, 7));
+        freezeIf(frozen.equals("before the majority"));
+        freezeIf(frozen.equals("between the majority and the answer"));
+        report("b", 7);
+        dispatcher.run();
+        assertThat(write.isDone()).isFalse();
+        view(3, true);
+        dispatcher.advance(Duration.ofMillis(10));
+        assertThat(failureOf(write)).isEqualTo(FailureType.TERM_CHANGED_AFTER_SEND);
+    }
+
+    @Test
+    void aLeaseThatIsRenewedAtTheSameTermLetsTheWriteThrough() {
+        CompletableFuture<ExecuteResponse> write = write("key-1");
+        answers.get(0).complete(executed(2, 7));
+        dispatcher.sleep(LEASE);
+        report("b", 7);
+        assertThat(write.isDone()).isFalse();
+        view(2, true);
+        dispatcher.advance(Duration.ofMillis(10));
+        assertThat(write.join().getReplayed()).isFalse();
+    }
+
+    @Test
+    void aLeaseThatIsNeverRenewedLeavesTheOutcomeUnknown() {
+        CompletableFuture<ExecuteResponse> write = write("key-1");
+        answers.get(0).complete(executed(2, 7));
+        dispatcher.sleep(LEASE);
+        report("b", 7);
+        dispatcher.advance(Duration.ofSeconds(2));
+        assertThat(failureOf(write)).isEqualTo(FailureType.LEASE_LOST_AFTER_SEND);
+    }
+
+    @Test
+    void nothingIsSentWithoutAFreshLeaseOrAWritablePrimary() {
+        dispatcher.sleep(LEASE);
+        assertThat(failureOf(write("key-1"))).isEqualTo(FailureType.VIEW_EXPIRED);
+        view(2, false);
+        assertThat(failureOf(write("key-1"))).isEqualTo(FailureType.NO_PRIMARY);
+        assertThat(sent).isEmpty();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"a keyed write is given up for a resend, key-1, true", "a write without a key is not, '', false"})
+    void aNewTermOvertakesAnAttemptThatWaits(String name, String key, boolean givenUp) {
+        CompletableFuture<ExecuteResponse> write = write(key);
+        view(3, true);
+        inFlight.view(publisher.current().view());
+        assertThat(write.isDone()).isEqualTo(givenUp);
+        answers.get(0).complete(executed(2, 7));
+        assertThat(failureOf(write)).isEqualTo(FailureType.TERM_CHANGED_AFTER_SEND);
+    }
+
+    @Test
+    void withoutAMajorityInTimeTheOutcomeIsUnknown() {
+        CompletableFuture<ExecuteResponse> write = write("key-1");
+        answers.get(0).complete(executed(2, 7));
+        dispatcher.advance(Duration.ofMillis(1_999));
+        assertThat(write.isDone()).isFalse();
+        dispatcher.advance(Duration.ofMillis(1));
+        assertThat(failureOf(write)).isEqualTo(FailureType.NO_QUORUM_IN_TIME);
+    }
+
+    private void freezeIf(boolean here) {
+        if (here) {
+            dispatcher.sleep(LEASE);
+        }
+    }
+
+    private CompletableFuture<ExecuteResponse> write(String key) {
+        ExecuteRequest request = ExecuteRequest.newBuilder()
+                .setService("rental-core")
+                .setRank("urgent")
+                .setIdempotencyKey(key)
+                .setTimeoutMs(2_000)
+                .addStatements(Statement.newBuilder().setName("row.add"))
+                .build();
+        Instant now = dispatcher.clock().instant();
+        return writes.attempt(StatementRequest.of(request, publisher.current().view(), now));
+    }
+
+    private CompletableFuture<StatementsExecuted> executeAtDatabase(
+            ViewSnapshot view, DatabaseEntry database, WorkOrder order, ExecuteStatements statements) {
+        sent.add(statements);
+        answers.add(new CompletableFuture<>());
+        return answers.get(answers.size() - 1);
+    }
+
+    private void view(long term, boolean writable) {
+        version++;
+        List<DatabaseEntry> entries = TestViews.DOMAINS.keySet().stream()
+                .map(id -> TestViews.database(id, Endpoint.getDefaultInstance(), "p1", 1))
+                .toList();
+        publisher.apply(
+                TestViews.lease(version, TestViews.group(term, writable, entries), List.of()),
+                dispatcher.clock().instant());
+        ViewSnapshot view = publisher.current().view();
+        databases.group(TestViews.GROUP).view(view.group(TestViews.GROUP).orElseThrow(), 3);
+        writes.view(view);
+    }
+
+    private void report(String id, long index) {
+        Position position = Position.newBuilder().setTerm(2).setIndex(index).build();
+        databases
+                .group(TestViews.GROUP)
+                .report(
+                        PositionReport.newBuilder()
+                                .setDatabaseId(id)
+                                .setIncarnation(1)
+                                .setTerm(2)
+                                .setFollowedTerm(2)
+                                .setTrusted(true)
+                                .setSynced(position)
+                                .setApplied(position)
+                                .build(),
+                        dispatcher.clock().instant());
+    }
+
+    private static StatementsExecuted executed(long term, long index) {
+        return StatementsExecuted.newBuilder()
+                .setTerm(term)
+                .setPosition(Position.newBuilder().setTerm(term).setIndex(index))
+                .build();
+    }
+
+    private static FailureType failureOf(CompletableFuture<ExecuteResponse> write) {
+        return FailureException.of(write.handle((answer, error) -> error).join())
+                .type();
+    }
+}
