--- /dev/null
+++ b/bench/src/main/java/org/hornbeamspread/bench/LeaseRelayBenchmark.java
@@ -0,0 +1,58 @@
+package org.hornbeamspread.bench;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamspread.core.lease.Lease;
+import org.hornbeamspread.core.lease.LeaseRelay;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+
+/** What a relay spends on one renewal of a proxy, and on one renewal of its own, by the number of proxies behind it. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+public class LeaseRelayBenchmark {
+    private static final Duration LEASE = Duration.ofSeconds(1);
+
+    /** Proxies behind the relay. */
+    @Param({"10", "100", "500", "5000"})
+    public int proxies;
+
+    private final PausedClock clock = new PausedClock();
+    private String[] proxyIds;
+    private LeaseRelay relay;
+    private int next;
+
+    /** Leases all proxies once. */
+    @Setup
+    public void lease() {
+        relay = new LeaseRelay(clock, LEASE);
+        clock.advance(LEASE);
+        relay.onUpstream(clock.instant(), 1, 1, LEASE);
+        proxyIds = new String[proxies];
+        for (int i = 0; i < proxies; i++) {
+            proxyIds[i] = "proxy-" + i;
+            relay.renew(proxyIds[i], 1, 1);
+        }
+    }
+
+    /** One renewal of a proxy. */
+    @Benchmark
+    public Lease renewOneProxy() {
+        next = (next + 1) % proxies;
+        return relay.renew(proxyIds[next], 1, 1);
+    }
+
+    /** What the relay confirms upstream. */
+    @Benchmark
+    public Lease confirmUpstream() {
+        return relay.confirmed();
+    }
+}
