--- a/load/src/main/java/org/hornbeamspread/load/LoadMain.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadMain.java
@@ -57,20 +57,31 @@
     }
 
     private static LoadReport run(LoadOptions options, PrintStream out) {
-        if (options.seconds < 1 || options.groups < 1) {
-            throw new FailureException(FailureType.INVALID_SETTING, "--seconds and --groups are at least 1");
+        if (options.seconds < 1 || options.groups < 1 || options.warmUpSeconds < 0) {
+            throw new FailureException(
+                    FailureType.INVALID_SETTING, "--seconds and --groups are at least 1, --warm-up-seconds at least 0");
         }
         Workload workload = Workload.of(options.user, options.groups);
         ProxyPort port = HttpProxyPort.parse(options.proxies);
-        List<Arrival> schedule = ArrivalSchedule.of(workload, options.seconds, options.seed, floodRank(options.fault));
+        List<Arrival> schedule = ArrivalSchedule.of(
+                workload, options.warmUpSeconds, options.seconds, options.seed, floodRank(options.fault));
         Clock clock = new MonotonicClock();
-        try (LoadRun run = new LoadRun(workload, port, schedule, options.seed, clock, progress(out))) {
+        try (LoadRun run = new LoadRun(
+                workload,
+                port,
+                schedule,
+                options.seed,
+                Duration.ofSeconds(options.warmUpSeconds),
+                clock,
+                progress(out))) {
             if (!options.startFile.isEmpty()) {
                 write(Path.of(options.startFile), run.start().toEpochMilli() + "\n");
             }
+            LinkBytesMeter bytes = new LinkBytesMeter(options.linkControl);
             run.run();
-            return report(
-                    options, workload, run, audit(workload, port, run.callers().ledger(), clock));
+            OptionalLong interRegionBytes = bytes.sinceStart();
+            Audit.Result audit = audit(workload, port, run.callers().ledger(), clock);
+            return report(options, workload, run, interRegionBytes, audit);
         }
     }
 
@@ -97,7 +108,8 @@
         };
     }
 
-    private static LoadReport report(LoadOptions options, Workload workload, LoadRun run, Audit.Result audit) {
+    private static LoadReport report(
+            LoadOptions options, Workload workload, LoadRun run, OptionalLong interRegionBytes, Audit.Result audit) {
         long endMs = run.nowUs() / 1_000;
         long faultAtMs = faultTime(options.faultTimeFile) - run.start().toEpochMilli();
         Map<String, Long> gaps = new HashMap<>();
@@ -113,7 +125,7 @@
                 options.configurationInForceMs < 0
                         ? OptionalLong.empty()
                         : OptionalLong.of(options.configurationInForceMs),
-                OptionalLong.empty(),
+                interRegionBytes,
                 run.callers().rankReports(),
                 run.dispatcher().refusals(),
                 run.dispatcher().notSent());
--- a/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadOptions.java
@@ -16,6 +16,9 @@
     @Option(name = "--seconds", usage = "how long requests arrive")
     int seconds = 20;
 
+    @Option(name = "--warm-up-seconds", usage = "requests before the start, audited but not counted by rank")
+    int warmUpSeconds = 5;
+
     @Option(name = "--seed", usage = "fixes the arrivals and every choice")
     long seed = 1;
 
@@ -34,6 +37,12 @@
     @Option(name = "--configuration-in-force-ms", usage = "a measured value to put into the report")
     long configurationInForceMs = -1;
 
+    @Option(
+            name = "--link-control",
+            metaVar = "HOST:PORT",
+            usage = "HTTP endpoint of the emulator's links, to count bytes")
+    String linkControl = "";
+
     @Option(name = "--report", metaVar = "FILE", usage = "where the JSON report goes")
     String report = "";
 
