Lease relay on the same lease table as the leader

Cause: core.lease kept a table of its own beside core.dissemination.ViewLeases, and its version let a proxy whose answers are lost hold everybody up for ever. Change: the relay moves to core.dissemination and uses ViewLeases, which keeps each grant with its version; the old table is gone. Conclusion: one table serves both.

--- a/bench/src/main/java/org/hornbeamspread/bench/LeaseRelayBenchmark.java
+++ b/bench/src/main/java/org/hornbeamspread/bench/LeaseRelayBenchmark.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import org.hornbeamspread.core.lease.Lease;
-import org.hornbeamspread.core.lease.LeaseRelay;
+import org.hornbeamspread.core.dissemination.Lease;
+import org.hornbeamspread.core.dissemination.LeaseRelay;
 import org.hornbeamspread.core.misc.PausedClock;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
@@ -34,7 +34,7 @@
     @Setup
     public void lease() {
         relay = new LeaseRelay(clock, LEASE);
-        clock.advance(LEASE);
+        clock.advance(LEASE.multipliedBy(2));
         relay.onUpstream(clock.instant(), 1, 1, LEASE);
         proxyIds = new String[proxies];
         for (int i = 0; i < proxies; i++) {
@@ -52,7 +52,7 @@
 
     /** What the relay confirms upstream. */
     @Benchmark
-    public Lease confirmUpstream() {
-        return relay.confirmed();
+    public long confirmUpstream() {
+        return relay.confirmedVersion();
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/lease/Lease.java
+++ b/core/src/main/java/org/hornbeamspread/core/dissemination/Lease.java
@@ -1,4 +1,4 @@
-package org.hornbeamspread.core.lease;
+package org.hornbeamspread.core.dissemination;
 
 import java.time.Duration;
 import java.time.Instant;
--- a/core/src/main/java/org/hornbeamspread/core/lease/LeaseRelay.java
+++ b/core/src/main/java/org/hornbeamspread/core/dissemination/LeaseRelay.java
@@ -1,4 +1,4 @@
-package org.hornbeamspread.core.lease;
+package org.hornbeamspread.core.dissemination;
 
 import java.time.Clock;
 import java.time.Duration;
@@ -22,21 +22,21 @@
  * <ol>
  *   <li>a proxy's lease ends no later than the relay's own, whose end is counted from the moment the relay
  *       <em>sent</em> its renewal, while the leader counts from the moment it received it;
- *   <li>what the relay confirms upstream is the oldest view that any proxy with a running lease may still hold, never
- *       the relay's own;
+ *   <li>what the relay confirms upstream is the oldest view that any proxy with a running lease may still act on
+ *       ({@link ViewLeases}), never the relay's own;
  *   <li>a proxy is granted only the newest view that the relay holds, so that the oldest one only moves forward.
  * </ol>
  *
- * <p>Corner cases: a proxy that renews with an older view than the relay holds is granted a lease on the newer one, and
- * counts as holding the older until it renews again. A relay that restarts has forgotten its grants: it confirms nothing
- * until the longest lease that it may have handed out is over. A proxy that moves to another relay is counted by both.
- * Not safe for several threads.
+ * <p>Corner cases: a relay that restarts, or that follows a new leader, has forgotten or no longer counts its grants: it
+ * confirms nothing until the longest lease that it may have handed out is over. A proxy that moves to another relay is
+ * counted by both. Confined to one thread.
  */
 public final class LeaseRelay {
     private final Clock clock;
-    private final LeaseTable proxies = new LeaseTable();
-    private final Instant forgottenUntil;
-    private final Duration keep;
+    private final Duration longestLease;
+
+    /** The leases handed out under the present leader. */
+    private ViewLeases<String> proxies;
 
     /** What the leader granted; NONE until the first answer. */
     private Lease upstream = Lease.NONE;
@@ -49,8 +49,8 @@
      */
     public LeaseRelay(Clock clock, Duration longestLease) {
         this.clock = clock;
-        this.keep = longestLease;
-        this.forgottenUntil = clock.instant().plus(longestLease);
+        this.longestLease = longestLease;
+        this.proxies = new ViewLeases<>(clock, longestLease);
     }
 
     /**
@@ -62,8 +62,10 @@
         if (upstream.isLaterThan(answered)) {
             return;
         }
-        boolean sameView = !answered.isLaterThan(upstream);
-        if (!sameView || answered.until().isAfter(upstream.until())) {
+        if (upstream.leaderTerm() != 0 && leaderTerm != upstream.leaderTerm()) {
+            proxies = new ViewLeases<>(clock, longestLease);
+        }
+        if (answered.isLaterThan(upstream) || answered.until().isAfter(upstream.until())) {
             upstream = answered;
         }
     }
@@ -73,27 +75,28 @@
      * end is in this relay's time; hand out {@link Lease#remainingAt}. {@link Lease#NONE} when the relay has none left.
      *
      * @param proxyId the proxy
-     * @param confirmedLeaderTerm the leader's term of the view that the proxy holds, 0 for none
-     * @param confirmedViewVersion the version that the proxy holds, 0 for none
+     * @param heldLeaderTerm the leader's term of the view that the proxy holds, 0 for none
+     * @param heldViewVersion the version that the proxy holds, 0 for none
      */
-    public Lease renew(String proxyId, long confirmedLeaderTerm, long confirmedViewVersion) {
-        Instant now = clock.instant();
-        if (!upstream.holdsAt(now)) {
+    public Lease renew(String proxyId, long heldLeaderTerm, long heldViewVersion) {
+        if (!upstream.holdsAt(clock.instant())) {
             return Lease.NONE;
         }
-        proxies.granted(proxyId, new Lease(confirmedLeaderTerm, confirmedViewVersion, now), upstream.until());
+        if (heldLeaderTerm == upstream.leaderTerm()) {
+            proxies.confirm(proxyId, heldViewVersion);
+        }
+        proxies.grantUntil(proxyId, proxyId, upstream.viewVersion(), upstream.until());
         return upstream;
     }
 
-    /** The view to confirm with the next renewal: the oldest that any proxy behind this relay may still act on. */
-    public Lease confirmed() {
-        Instant now = clock.instant();
-        proxies.expire(now, keep);
-        return now.isBefore(forgottenUntil) ? Lease.NONE : proxies.oldestHeld(upstream, now);
+    /** The version to confirm with the next renewal: the oldest that any proxy may still act on; 0 when not known. */
+    public long confirmedVersion() {
+        proxies.expire();
+        return Math.min(upstream.viewVersion(), proxies.oldestVersion());
     }
 
-    /** Proxies with a running lease. */
+    /** Proxies with a lease. */
     public int leasedProxies() {
-        return proxies.size(clock.instant());
+        return proxies.size();
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/dissemination/ViewLeases.java
+++ b/core/src/main/java/org/hornbeamspread/core/dissemination/ViewLeases.java
@@ -57,9 +57,14 @@
 
     /** Notes a lease whose answer carries a view version, for a request that arrived at the given time. */
     public void grant(String proxyId, P proxy, long version, Instant arrivedAt) {
+        grantUntil(proxyId, proxy, version, arrivedAt.plus(countedLease));
+    }
+
+    /** Notes a lease whose answer carries a view version, and that has certainly run out at an instant. */
+    public void grantUntil(String proxyId, P proxy, long version, Instant end) {
         Entry<P> entry = entries.computeIfAbsent(proxyId, id -> new Entry<>());
         entry.proxy = proxy;
-        Instant until = arrivedAt.plus(countedLease);
+        Instant until = end;
         Grant last = entry.grants.peekLast();
         if (last != null && last.version == version) {
             entry.grants.removeLast();
