--- a/control/src/main/java/org/hornbeamspread/control/consensus/PeerLinks.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/PeerLinks.java
@@ -12,29 +12,36 @@
 
 /**
  * The connections to the other members. A message to a member that can't be reached is dropped; the decision sends
- * again in time. Used by the consensus thread; answers come on network threads.
+ * again in time. A few wait for a connection that is being opened, so that a first request for a vote is not lost. Used
+ * by the consensus thread; answers come on network threads.
  */
 final class PeerLinks {
+    private static final int MAX_WAITING = 16;
+
     private final PeerTransport transport;
     private final Duration connectTimeout;
     private final Consumer<Envelope> onAnswer;
     private final Map<Endpoint, CompletableFuture<PeerConnection>> connections = new HashMap<>();
 
+    /** How many messages wait for each connection that is being opened. */
+    private final Map<Endpoint, Integer> waiting = new HashMap<>();
+
     PeerLinks(PeerTransport transport, Duration connectTimeout, Consumer<Envelope> onAnswer) {
         this.transport = transport;
         this.connectTimeout = connectTimeout;
         this.onAnswer = onAnswer;
     }
 
-    /** Sends, or opens the connection for a later message. */
+    /** Sends, once the connection is open. */
     void send(Endpoint endpoint, Envelope request, Duration timeout) {
         CompletableFuture<PeerConnection> connection = connections.get(endpoint);
         if (connection == null || isBroken(connection)) {
             connection = transport.connect(endpoint, connectTimeout, (peer, unexpected, answer) -> peer.close());
             connections.put(endpoint, connection);
+            waiting.put(endpoint, 0);
         }
-        if (connection.isDone() && !isBroken(connection)) {
-            connection.join().request(request, timeout).thenAccept(onAnswer);
+        if (connection.isDone() || waiting.merge(endpoint, 1, Integer::sum) <= MAX_WAITING) {
+            connection.thenAccept(open -> open.request(request, timeout).thenAccept(onAnswer));
         }
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -167,7 +167,7 @@
                 follow(state.term(), Optional.empty());
             }
         } else if (state.nowMs() >= electionDeadlineMs) {
-            resetElectionDeadline();
+            retryElectionSoon();
             if (state.isSelfVoter() && stalled.isEmpty()) {
                 campaign();
             }
@@ -192,7 +192,7 @@
         grants.clear();
         state.vote(state.term() + 1, Optional.of(state.selfId));
         ownVotePersistId = state.outbox.neededPersistId();
-        resetElectionDeadline();
+        retryElectionSoon();
         askForVotes(state.term(), false);
         countOwnVote();
     }
@@ -434,8 +434,16 @@
     }
 
     private void resetElectionDeadline() {
-        long timeoutMs = state.times.electionTimeoutMs();
-        electionDeadlineMs = state.nowMs() + timeoutMs + random.nextLong(timeoutMs);
+        scheduleElection(state.times.electionTimeoutMs());
+    }
+
+    /** A vote that was split or refused is tried again sooner than a leader is given up. */
+    private void retryElectionSoon() {
+        scheduleElection(state.times.electionTimeoutMs() / 2);
+    }
+
+    private void scheduleElection(long shortestMs) {
+        electionDeadlineMs = state.nowMs() + shortestMs + random.nextLong(shortestMs);
     }
 
     /** What this member is at present. */
--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
@@ -139,6 +139,22 @@
         assertThat(leader.refused).doesNotContain(first);
     }
 
+    @Test
+    void aReplacementVotesOnceItHasCaughtUp() {
+        LogHarness harness = harness(3, ConsensusRule.PRE_VOTE, true);
+        LogHarness.Host leader = harness.leader().orElseThrow();
+        harness.settleUntil(() -> leader.applied == leader.node.lastIndex());
+        String gone = others(harness, leader.id).get(0);
+        harness.host(gone).loseDisk();
+        LogHarness.Host added = harness.addHost("c4");
+        leader.propose(Optional.of(without(leader.node.membership(), gone).with(new Member("c4", 0, false))));
+        harness.settleUntil(
+                () -> harness.checker.committedMembership().orElseThrow().isVoter("c4", added.disk.incarnation()));
+        leader.crash();
+        harness.settleUntil(() -> harness.leader().isPresent());
+        assertThat(harness.leader().orElseThrow().node.membership().find(gone)).isEqualTo(Optional.empty());
+    }
+
     private static LogHarness harness(int members, ConsensusRule rule, boolean inForce) {
         Set<ConsensusRule> rules =
                 inForce ? EnumSet.allOf(ConsensusRule.class) : EnumSet.complementOf(EnumSet.of(rule));
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
@@ -42,6 +42,14 @@
         hosts.values().forEach(Host::start);
     }
 
+    /** A member that the log does not know yet. */
+    Host addHost(String id) {
+        Host added = new Host(id);
+        hosts.put(id, added);
+        added.start();
+        return added;
+    }
+
     /** Up to a leader whose membership is recorded. */
     LogHarness formed() {
         settleUntil(() -> checker.committedMembership().isPresent() && leader().isPresent());
