--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -2,9 +2,7 @@
 
 import java.time.Clock;
 import java.util.EnumSet;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -28,20 +26,12 @@
 public final class ConsensusNode {
     private final NodeState state;
     private final Formation formation;
-    private final RandomGenerator random;
-    private Role role = Role.FOLLOWER;
+    private final Election election;
     private Optional<String> leaderId = Optional.empty();
 
     /** Present while this member leads. */
     private Optional<LeaderRole> leading = Optional.empty();
 
-    /** Who granted the vote, or the pre-vote, that is under way, with the incarnation that did. */
-    private final Map<String, Long> grants = new HashMap<>();
-
-    /** The persist that makes this candidate's own vote durable. */
-    private long ownVotePersistId;
-
-    private long electionDeadlineMs;
     private long leaderHeardMs = Long.MIN_VALUE / 2;
 
     /** Present while the disk takes nothing. */
@@ -70,9 +60,8 @@
             Set<ConsensusRule> rules) {
         this.state = new NodeState(memberId, stored, times, rules, clock);
         this.formation = new Formation(state, initialMemberIds, stored.formed());
-        this.random = random;
+        this.election = new Election(state, random);
         this.published = new ConsensusEffect.LeadershipChanged(stored.term(), Optional.empty(), false);
-        resetElectionDeadline();
     }
 
     /** Takes one event. */
@@ -166,65 +155,22 @@
             if (!leading.get().tick()) {
                 follow(state.term(), Optional.empty());
             }
-        } else if (state.nowMs() >= electionDeadlineMs) {
-            retryElectionSoon();
+        } else if (election.isDue()) {
+            election.retrySoon();
             if (state.isSelfVoter() && stalled.isEmpty()) {
-                campaign();
+                leaderId = Optional.empty();
+                leadIf(election.campaign());
             }
         }
     }
 
-    private void campaign() {
-        leaderId = Optional.empty();
-        grants.clear();
-        if (!state.has(ConsensusRule.PRE_VOTE)) {
-            startElection();
+    private void leadIf(boolean won) {
+        if (!won) {
             return;
         }
-        role = Role.PRE_CANDIDATE;
-        grants.put(state.selfId, state.incarnation);
-        askForVotes(state.term() + 1, true);
-        countGrants();
-    }
-
-    private void startElection() {
-        role = Role.CANDIDATE;
-        grants.clear();
-        state.vote(state.term() + 1, Optional.of(state.selfId));
-        ownVotePersistId = state.outbox.neededPersistId();
-        retryElectionSoon();
-        askForVotes(state.term(), false);
-        countOwnVote();
-    }
-
-    private void askForVotes(long term, boolean preVote) {
-        Message request =
-                new Message.VoteRequest(term, state.selfId, state.log.lastIndex(), state.log.lastTerm(), preVote);
-        state.log.membership().voters().stream()
-                .map(Member::memberId)
-                .filter(id -> !id.equals(state.selfId))
-                .forEach(id -> state.outbox.emitWhenSynced(new ConsensusEffect.Send(id, request)));
-    }
-
-    private void countOwnVote() {
-        if (role == Role.CANDIDATE && state.outbox.isSynced(ownVotePersistId)) {
-            grants.put(state.selfId, state.incarnation);
-            countGrants();
-        }
-    }
-
-    private void countGrants() {
-        boolean majority = state.log
-                .membership()
-                .isMajority(voter -> grants.containsKey(voter.memberId())
-                        && state.isVoter(voter.memberId(), grants.get(voter.memberId())));
-        if (majority && role == Role.PRE_CANDIDATE) {
-            startElection();
-        } else if (majority && role == Role.CANDIDATE) {
-            role = Role.LEADER;
-            leaderId = Optional.of(state.selfId);
-            leading = Optional.of(new LeaderRole(state));
-        }
+        election.abandon();
+        leaderId = Optional.of(state.selfId);
+        leading = Optional.of(new LeaderRole(state));
     }
 
     private void onVoteRequest(Message.VoteRequest request, long replyId) {
@@ -249,7 +195,7 @@
             if (state.votedFor().isEmpty()) {
                 state.vote(state.term(), Optional.of(request.candidateId()));
             }
-            resetElectionDeadline();
+            election.postpone();
         }
         replyToVote(replyId, state.term(), granted, false);
     }
@@ -276,13 +222,7 @@
             followLaterTerm(response.term());
             return;
         }
-        boolean wanted = response.preVote()
-                ? role == Role.PRE_CANDIDATE && response.term() == state.term() + 1
-                : role == Role.CANDIDATE && response.term() == state.term();
-        if (wanted) {
-            grants.put(response.voterId(), response.incarnation());
-            countGrants();
-        }
+        leadIf(election.onGranted(response));
     }
 
     private void onAppendRequest(Message.AppendRequest request, long replyId) {
@@ -359,7 +299,7 @@
         }
         follow(term, Optional.of(sender));
         leaderHeardMs = state.nowMs();
-        resetElectionDeadline();
+        election.postpone();
         return true;
     }
 
@@ -375,7 +315,7 @@
         }
         leading.ifPresent(LeaderRole::refuseReads);
         leading = Optional.empty();
-        role = Role.FOLLOWER;
+        election.abandon();
         leaderId = leader;
     }
 
@@ -399,12 +339,12 @@
     private void onSynced(long persistId) {
         stalled = Optional.empty();
         state.outbox.onSynced(persistId);
-        countOwnVote();
+        leadIf(election.countOwnVote());
     }
 
     private void onStalled(FailureType reason) {
         stalled = Optional.of(reason);
-        if (role != Role.FOLLOWER) {
+        if (leading.isPresent() || election.isRunning()) {
             follow(state.term(), Optional.empty());
         }
     }
@@ -432,25 +372,4 @@
             state.outbox.emit(present);
         }
     }
-
-    private void resetElectionDeadline() {
-        scheduleElection(state.times.electionTimeoutMs());
-    }
-
-    /** A vote that was split or refused is tried again sooner than a leader is given up. */
-    private void retryElectionSoon() {
-        scheduleElection(state.times.electionTimeoutMs() / 2);
-    }
-
-    private void scheduleElection(long shortestMs) {
-        electionDeadlineMs = state.nowMs() + shortestMs + random.nextLong(shortestMs);
-    }
-
-    /** What this member is at present. */
-    private enum Role {
-        FOLLOWER,
-        PRE_CANDIDATE,
-        CANDIDATE,
-        LEADER
-    }
 }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/NodeState.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/NodeState.java
@@ -84,7 +84,7 @@
         boolean keepsRecords = log.matches(snapshot.lastIndex(), snapshot.lastTerm());
         log.install(snapshot);
         if (!keepsRecords) {
-            outbox.truncatedFrom(snapshot.lastIndex() + 1);
+            outbox.truncatedFrom(1);
         }
         outbox.stageRewrite(log);
         commitIndex = snapshot.lastIndex();
