Exhaustive check of the promotion rules over the real classes

Change: a breadth-first search whose control steps come from GroupFailover and whose rules come from PromotionRules; each state asks a fresh GroupFailover, so every step is also a new leader's first.

--- /dev/null
+++ b/core/src/test/java/org/hornbeamspread/core/failover/ModelState.java
@@ -0,0 +1,144 @@
+package org.hornbeamspread.core.failover;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamspread.core.membership.DatabaseStatus;
+
+/**
+ * A state of a searched history: three packed databases, the group's record in the control log, and what happened.
+ *
+ * @param primaryIndex the record's primary; {@link #NONE} for none
+ * @param acknowledged a bit for each acknowledged write
+ * @param promotions how many promotions were started
+ */
+record ModelState(
+        long first,
+        long second,
+        long third,
+        int term,
+        int primaryIndex,
+        boolean writable,
+        int acknowledged,
+        int writes,
+        int promotions,
+        int losses) {
+    static final int DATABASES = 3;
+    static final int NONE = -1;
+    private static final long SPREAD = 0x9e3779b97f4a7c15L;
+    private static final String GROUP = "g";
+
+    static ModelState start() {
+        long replica = ModelDatabase.first(false).pack();
+        return new ModelState(ModelDatabase.first(true).pack(), replica, replica, 1, 0, true, 0, 0, 0, 0);
+    }
+
+    ModelDatabase database(int index) {
+        return ModelDatabase.unpack(index == 0 ? first : index == 1 ? second : third);
+    }
+
+    ModelState with(int index, ModelDatabase database) {
+        long packed = database.pack();
+        return new ModelState(
+                index == 0 ? packed : first,
+                index == 1 ? packed : second,
+                index == 2 ? packed : third,
+                term,
+                primaryIndex,
+                writable,
+                acknowledged,
+                writes,
+                promotions,
+                losses);
+    }
+
+    ModelState withRecord(GroupRecord record) {
+        int started = record.term() > term ? promotions + 1 : promotions;
+        int index = record.primaryId().map(ModelState::indexOf).orElse(NONE);
+        return new ModelState(
+                first,
+                second,
+                third,
+                (int) record.term(),
+                index,
+                record.writable(),
+                acknowledged,
+                writes,
+                started,
+                losses);
+    }
+
+    ModelState withAcknowledged(int write) {
+        return new ModelState(
+                first,
+                second,
+                third,
+                term,
+                primaryIndex,
+                writable,
+                acknowledged | 1 << write,
+                writes,
+                promotions,
+                losses);
+    }
+
+    ModelState withCounts(int newWrites, int newLosses) {
+        return new ModelState(
+                first, second, third, term, primaryIndex, writable, acknowledged, newWrites, promotions, newLosses);
+    }
+
+    ModelState withoutCounts() {
+        return new ModelState(first, second, third, term, primaryIndex, writable, 0, 0, 0, 0);
+    }
+
+    GroupRecord record() {
+        Optional<String> primaryId =
+                primaryIndex == NONE ? Optional.empty() : Optional.of(ModelDatabase.name(primaryIndex));
+        return new GroupRecord(GROUP, term, primaryId, writable);
+    }
+
+    GroupInput input(Map<String, Long> suspected) {
+        List<DatabaseStatus> statuses = new ArrayList<>();
+        Map<String, Registration> registrations = new HashMap<>();
+        for (int i = 0; i < DATABASES; i++) {
+            statuses.add(database(i).status(i));
+            registrations.put(ModelDatabase.name(i), database(i).registration(i));
+        }
+        return new GroupInput(record(), DATABASES, statuses, registrations, suspected, Set.of(), () -> true);
+    }
+
+    /** Spreads the packed databases, whose bits a record's own hash code would let collide. */
+    @Override
+    public int hashCode() {
+        long hash = first * SPREAD;
+        hash = (hash ^ (hash >>> 32) ^ second) * SPREAD;
+        hash = (hash ^ (hash >>> 32) ^ third) * SPREAD;
+        int rest = (((term * 4 + primaryIndex) * 2 + (writable ? 1 : 0)) * 8 + acknowledged) * 4 + writes;
+        hash = (hash ^ (hash >>> 32) ^ (rest * 64L + promotions * 8L + losses)) * SPREAD;
+        return (int) (hash >>> 32);
+    }
+
+    /** Whether the record's primary acts as one and lacks an acknowledged write. */
+    boolean lost() {
+        if (primaryIndex == NONE) {
+            return false;
+        }
+        ModelDatabase primary = database(primaryIndex);
+        if (!primary.primary() || primary.term() != term) {
+            return false;
+        }
+        for (int write = 1; write < ModelDatabase.WRITES; write++) {
+            if ((acknowledged & 1 << write) != 0 && !primary.holds(write)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    static int indexOf(String databaseId) {
+        return databaseId.charAt(1) - '0';
+    }
+}
