Coordinator: a lost event can't wedge leases or promotions; malformed pushes are counted

Cause: with a full ring, the end of a leadership check or of an append could be lost, and a malformed renewal would have kept others of its batch without an answer. Change: both count as ended after a bound; messages are parsed before they enter the ring; RenewalQueue holds the waiting ones.

--- a/control/src/main/java/org/hornbeamspread/control/failover/ControlEvent.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/ControlEvent.java
@@ -6,9 +6,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.hornbeamspread.control.Leadership;
+import org.hornbeamspread.core.membership.AnnouncedDatabase;
 import org.hornbeamspread.core.membership.DatabaseStatus;
+import org.hornbeamspread.core.membership.LiveProxy;
 import org.hornbeamspread.core.misc.LogPosition;
-import org.hornbeamspread.protocol.schema.Announce;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.RenewView;
 import org.hornbeamspread.protocol.schema.Topology;
@@ -17,10 +18,11 @@
 /** What the coordinator's thread is told. */
 sealed interface ControlEvent {
     /** A database announced itself. */
-    record Announced(Announce announce) implements ControlEvent {}
+    record Announced(AnnouncedDatabase database) implements ControlEvent {}
 
     /** A proxy asks for a lease. */
-    record Renewal(RenewView request, Instant arrivedAt, PeerConnection connection, Consumer<Envelope> answer)
+    record Renewal(
+            RenewView request, LiveProxy proxy, Instant arrivedAt, PeerConnection connection, Consumer<Envelope> answer)
             implements ControlEvent {}
 
     /** A majority confirmed, or not, that the leader of this term led after these renewals had arrived. */
--- a/control/src/main/java/org/hornbeamspread/control/failover/Coordinator.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/Coordinator.java
@@ -4,7 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +31,7 @@
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.protocol.schema.ControlState;
 import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.RenewView;
 import org.hornbeamspread.protocol.schema.Topology;
 import org.hornbeamspread.protocol.schema.ViewChanged;
 import org.hornbeamspread.runtime.DutyThread;
@@ -52,6 +53,7 @@
     private static final int RING_EVENTS = 1 << 16;
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration REACHABLE_FOR = Duration.ofSeconds(1);
+    private static final Duration PUSH_INTERVAL = Duration.ofMillis(10);
     private static final Duration EXPIRY = Duration.ofSeconds(30);
 
     private final ReplicatedLog log;
@@ -65,10 +67,12 @@
     private final FailureDetector detector;
     private final DatabaseClients databases;
     private final EffectRunner effects;
+    private final RenewalQueue renewals;
     private final DutyThread<ControlEvent> duty;
     private final Map<String, PeerConnection> proxyConnections = new HashMap<>();
-    private List<Renewal> waitingRenewals = new ArrayList<>();
-    private boolean checkRunning;
+
+    /** No push of the view's version before this time. */
+    private Instant nextPushAt = Instant.EPOCH;
 
     /** The version that proxies were last told of. */
     private long toldVersion;
@@ -105,6 +109,7 @@
         this.detector = new FailureDetector(clock, timings);
         this.duty = new DutyThread<>("coordinator", RING_EVENTS, this::handle, TICK, this::tick);
         this.databases = new DatabaseClients(transport, duty::offer, metrics);
+        this.renewals = new RenewalQueue(log, clock, duty::offer);
         this.effects = new EffectRunner(registry, databases, new ProposalSender(log, clock, duty::offer, metrics));
     }
 
@@ -136,7 +141,9 @@
             refuse(answer, FailureType.INVALID_REQUEST, request.getBodyCase().name());
             return;
         }
-        Renewal renewal = new Renewal(request.getRenewView(), clock.instant(), connection, answer);
+        RenewView renew = request.getRenewView();
+        LiveProxy proxy = ViewMessages.proxy(renew.getProxy());
+        Renewal renewal = new Renewal(renew, proxy, clock.instant(), connection, answer);
         if (!duty.offer(renewal)) {
             refuse(answer, FailureType.RING_FULL, "coordinator");
         }
@@ -144,11 +151,17 @@
 
     @Override
     public void onPush(PeerConnection connection, Envelope push) {
-        if (push.hasAnnounce()) {
-            connection.attach(push.getAnnounce().getDatabaseId());
-            if (!duty.offer(new ControlEvent.Announced(push.getAnnounce()))) {
+        if (!push.hasAnnounce()) {
+            return;
+        }
+        try {
+            AnnouncedDatabase database = ViewMessages.announced(push.getAnnounce());
+            connection.attach(database.databaseId());
+            if (!duty.offer(new ControlEvent.Announced(database))) {
                 metrics.refused(FailureType.RING_FULL);
             }
+        } catch (FailureException e) {
+            metrics.refused(e.type());
         }
     }
 
@@ -172,7 +185,7 @@
 
     private void handle(ControlEvent event) {
         if (event instanceof ControlEvent.Announced announced) {
-            announced(announced);
+            announced(announced.database());
         } else if (event instanceof Renewal renewal) {
             renew(renewal);
         } else if (event instanceof LeadershipChecked check) {
@@ -220,9 +233,11 @@
         }
     }
 
-    private void announced(ControlEvent.Announced event) {
-        AnnouncedDatabase database = ViewMessages.announced(event.announce());
+    private void announced(AnnouncedDatabase database) {
         Set<String> changed = registry.announce(database);
+        if (!registry.isCurrent(database.status())) {
+            return;
+        }
         detector.heard(database.databaseId());
         if (session != null && !changed.isEmpty()) {
             session.markChanged(changed);
@@ -232,7 +247,9 @@
 
     private void reported(DatabaseStatus status) {
         registry.report(status);
-        detector.heard(status.databaseId());
+        if (registry.isCurrent(status)) {
+            detector.heard(status.databaseId());
+        }
         registry.find(status.databaseId()).ifPresent(database -> {
             if (session != null) {
                 session.markChanged(List.of(database.group()));
@@ -261,39 +278,27 @@
             refuseNotLeader(renewal.answer());
             return;
         }
-        waitingRenewals.add(renewal);
-        checkLeadership();
-    }
-
-    private void checkLeadership() {
-        if (checkRunning || waitingRenewals.isEmpty()) {
-            return;
-        }
-        checkRunning = true;
-        List<Renewal> batch = waitingRenewals;
-        waitingRenewals = new ArrayList<>();
-        long term = leadership.term();
-        log.confirmLeadership()
-                .whenComplete((done, error) -> duty.offer(new LeadershipChecked(term, error == null, batch)));
+        renewals.add(renewal);
+        renewals.check(leadership.term());
     }
 
     private void checked(LeadershipChecked check) {
-        checkRunning = false;
+        renewals.checkEnded();
         boolean stillLeading = session != null && check.leaderTerm() == leadership.term() && check.confirmed();
         if (!stillLeading) {
             check.renewals().forEach(renewal -> refuseNotLeader(renewal.answer()));
-            checkLeadership();
+            renewals.check(leadership.term());
             return;
         }
         session.update(state.get());
         session.publish();
         check.renewals().forEach(this::grant);
-        checkLeadership();
+        renewals.check(leadership.term());
         step();
     }
 
     private void grant(Renewal renewal) {
-        LiveProxy proxy = ViewMessages.proxy(renewal.request().getProxy());
+        LiveProxy proxy = renewal.proxy();
         session.observe(renewal.request(), proxy);
         proxyConnections.put(proxy.proxyId(), renewal.connection());
         renewal.answer()
@@ -315,8 +320,7 @@
             LOG.log(Level.INFO, "no longer leading the control log, term {0}", next.term());
             session = null;
             proxyConnections.clear();
-            waitingRenewals.forEach(renewal -> refuseNotLeader(renewal.answer()));
-            waitingRenewals.clear();
+            renewals.takeAll().forEach(renewal -> refuseNotLeader(renewal.answer()));
             metrics.state(false, 0, 0);
         }
     }
@@ -327,6 +331,7 @@
         if (session != null) {
             session.markChanged(changed);
             session.update(state.get());
+            renewals.check(leadership.term());
             session.silentPrimaries().forEach(databases::probe);
             step();
         }
@@ -345,10 +350,12 @@
 
     private void pushVersion() {
         long version = session.view().version();
-        if (version == toldVersion) {
+        Instant now = clock.instant();
+        if (version == toldVersion || now.isBefore(nextPushAt)) {
             return;
         }
         toldVersion = version;
+        nextPushAt = now.plus(PUSH_INTERVAL);
         Envelope push = Envelope.newBuilder()
                 .setViewChanged(ViewChanged.newBuilder().setViewVersion(version))
                 .build();
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
@@ -58,7 +58,10 @@
     private long seenTerm = -1;
 
     private Instant termSince;
-    private boolean proposing;
+
+    /** When an append was asked for whose end is not known; null for none. */
+    private Instant proposedAt;
+
     private boolean promoteRefused;
     private boolean toldPromoted;
     private boolean toldOpened;
@@ -86,12 +89,12 @@
     /** Decides the next effects. To be called after each change of the input and at each tick. */
     public List<FailoverEffect> step(GroupInput input) {
         observeTerm(input.record());
-        if (proposing) {
+        if (proposedAt != null && millisSince(proposedAt) <= timings.promoteTimeoutMs()) {
             return List.of();
         }
         Optional<FailoverEffect> registration = followers.register(input);
         if (registration.isPresent()) {
-            proposing = true;
+            proposedAt = clock.instant();
             return List.of(registration.get());
         }
         if (input.registrations().isEmpty()) {
@@ -106,9 +109,12 @@
         return input.record().writable() ? watch(input) : promote(input);
     }
 
-    /** An append that was asked for has ended, in whatever way; the record tells how. */
+    /**
+     * An append that was asked for has ended, in whatever way; the record tells how. One whose end is never told counts as
+     * ended after a while; that it may still be committed does no harm, since the log takes one primary a term.
+     */
     public void proposalDone() {
-        proposing = false;
+        proposedAt = null;
     }
 
     /** The chosen database refused to become primary at this term. */
@@ -169,7 +175,7 @@
                 .map(id -> input.suspected().getOrDefault(id, 0L))
                 .orElse(0L);
         replacing |= reason != PromotionReason.FIRST && reason != PromotionReason.HANDOVER;
-        proposing = true;
+        proposedAt = clock.instant();
         listener.started(input.record().group(), next, reason, silenceMs);
         return List.of(
                 new AppendRecord(input.record().fencing(next), input.record().term()));
@@ -187,7 +193,7 @@
         if (enough && (fenced.size() >= alive(input) || sinceStartMs() >= timings.retryMs())) {
             Optional<DatabaseStatus> chosen = choose(input, fenced);
             if (chosen.isPresent()) {
-                proposing = true;
+                proposedAt = clock.instant();
                 String databaseId = chosen.get().databaseId();
                 listener.chosen(input.record().group(), term, databaseId, sinceStartMs());
                 return List.of(new AppendRecord(input.record().chosen(databaseId), term));
@@ -250,7 +256,7 @@
         }
         List<FailoverEffect> effects = new ArrayList<>(followers.follow(input));
         if (input.oldLeasesOver().getAsBoolean()) {
-            proposing = true;
+            proposedAt = clock.instant();
             listener.leasesOver(record.group(), record.term(), sinceStartMs());
             effects.add(new AppendRecord(record.opened(), record.term()));
         }
--- a/core/src/main/java/org/hornbeamspread/core/membership/DatabaseRegistry.java
+++ b/core/src/main/java/org/hornbeamspread/core/membership/DatabaseRegistry.java
@@ -99,6 +99,12 @@
         return Optional.ofNullable(databases.get(databaseId)).map(entry -> entry.database);
     }
 
+    /** Whether a status is of the latest known process of its name. */
+    public boolean isCurrent(DatabaseStatus status) {
+        Entry entry = databases.get(status.databaseId());
+        return entry != null && entry.database.status().incarnation() == status.incarnation();
+    }
+
     /** Whether the database gave a sign of life lately. */
     public boolean isReachable(String databaseId) {
         Entry entry = databases.get(databaseId);
