Confirmation is asked for at once; members are replaced; endpoints from the log

Cause: a proxy that had learned of a promotion confirmed it only with its next renewal, up to 300 ms later, when both steps of the promotion fell into one push; ReplaceControlMember was refused. Change: while a promotion waits, a proxy that was granted a newer version is called again; ReplaceControlMember proposes the members without the old and with the new one, which gets its vote from the log; NOT_LEADER takes endpoints from the log.

--- a/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
@@ -1,11 +1,10 @@
 package org.hornbeamspread.control;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hornbeamspread.control.consensus.ConsensusService;
 import org.hornbeamspread.control.consensus.ConsensusSettings;
 import org.hornbeamspread.control.failover.ControlMetrics;
@@ -59,9 +58,21 @@
                 settings.memberId(), settings.clusterId(), settings.members(), settings.dataDirectory());
         ConsensusService log = new ConsensusService(consensus, state, clock, transport, registry);
         Coordinator coordinator = new Coordinator(
-                log, state, endpoints(settings, ControlMember::getPeer), settings.lease(), clock, transport, metrics);
+                log,
+                state,
+                endpoints(settings, log, ControlMember::getPeer),
+                settings.lease(),
+                clock,
+                transport,
+                metrics);
         Operations operations = new Operations(
-                log, state, log::members, endpoints(settings, ControlMember::getHttp), coordinator, clock, metrics);
+                log,
+                state,
+                log::members,
+                endpoints(settings, log, ControlMember::getHttp),
+                coordinator,
+                clock,
+                metrics);
         PeerServer peerServer = transport
                 .listen(settings.peer(), new SharedPort(log, coordinator))
                 .join();
@@ -94,15 +105,16 @@
         closed.countDown();
     }
 
+    /** Looks a member up in the log, and while the log does not name it, in the settings. */
     private static Function<String, String> endpoints(
-            ControlSettings settings, Function<ControlMember, Endpoint> endpoint) {
-        Map<String, String> known = settings.members().stream()
-                .collect(Collectors.toUnmodifiableMap(
-                        ControlMember::getMemberId,
-                        member -> endpoint.apply(member).getHost()
-                                + ":"
-                                + endpoint.apply(member).getPort()));
-        return memberId -> known.getOrDefault(memberId, "");
+            ControlSettings settings, ConsensusService log, Function<ControlMember, Endpoint> endpoint) {
+        return memberId -> Stream.concat(log.members().stream(), settings.members().stream())
+                .filter(member -> member.getMemberId().equals(memberId))
+                .map(endpoint)
+                .filter(found -> !found.getHost().isEmpty())
+                .map(found -> found.getHost() + ":" + found.getPort())
+                .findFirst()
+                .orElse("");
     }
 
     /** Gives the log its own requests, and everything else to the coordinator. */
--- a/control/src/main/java/org/hornbeamspread/control/failover/Coordinator.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/Coordinator.java
@@ -34,6 +34,7 @@
 import org.hornbeamspread.protocol.schema.RenewView;
 import org.hornbeamspread.protocol.schema.Topology;
 import org.hornbeamspread.protocol.schema.ViewChanged;
+import org.hornbeamspread.protocol.schema.ViewLease;
 import org.hornbeamspread.runtime.DutyThread;
 import org.hornbeamspread.transport.Envelopes;
 import org.hornbeamspread.transport.PeerConnection;
@@ -297,14 +298,17 @@
         step();
     }
 
+    /** A proxy that just learned of a promotion is called again at once, so that it confirms without waiting. */
     private void grant(Renewal renewal) {
         LiveProxy proxy = renewal.proxy();
         session.observe(renewal.request(), proxy);
         proxyConnections.put(proxy.proxyId(), renewal.connection());
-        renewal.answer()
-                .accept(Envelope.newBuilder()
-                        .setViewLease(session.grant(renewal.request(), proxy, renewal.arrivedAt()))
-                        .build());
+        long held = session.view().heldVersion(renewal.request());
+        ViewLease lease = session.grant(renewal.request(), proxy, renewal.arrivedAt());
+        renewal.answer().accept(Envelope.newBuilder().setViewLease(lease).build());
+        if (lease.getViewVersion() > held && session.awaitsConfirmation()) {
+            pushVersion(renewal.connection(), lease.getViewVersion());
+        }
     }
 
     private void leadershipChanged(Leadership next) {
@@ -356,11 +360,14 @@
         }
         toldVersion = version;
         nextPushAt = now.plus(PUSH_INTERVAL);
-        Envelope push = Envelope.newBuilder()
-                .setViewChanged(ViewChanged.newBuilder().setViewVersion(version))
-                .build();
         proxyConnections.values().removeIf(connection -> !connection.isOpen());
-        proxyConnections.values().forEach(connection -> connection.push(push));
+        proxyConnections.values().forEach(connection -> pushVersion(connection, version));
+    }
+
+    private static void pushVersion(PeerConnection connection, long version) {
+        connection.push(Envelope.newBuilder()
+                .setViewChanged(ViewChanged.newBuilder().setViewVersion(version))
+                .build());
     }
 
     private void answerTopology(CompletableFuture<Topology> answer) {
--- a/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
@@ -97,6 +97,12 @@
         return Optional.ofNullable(groups.get(name));
     }
 
+    /** Whether a promotion waits until the proxies have confirmed its term. */
+    boolean awaitsConfirmation() {
+        return groups.values().stream()
+                .anyMatch(group -> group.isActive() && group.record().term() > 0);
+    }
+
     /** Brings the groups up to the log's state. */
     void update(ControlState next) {
         if (next.equals(state)) {
--- a/control/src/main/java/org/hornbeamspread/control/operations/Operations.java
+++ b/control/src/main/java/org/hornbeamspread/control/operations/Operations.java
@@ -18,6 +18,7 @@
 import org.hornbeamspread.http.RpcMethod;
 import org.hornbeamspread.protocol.schema.ApplyConfigurationRequest;
 import org.hornbeamspread.protocol.schema.ApplyConfigurationResponse;
+import org.hornbeamspread.protocol.schema.ChangeMembers;
 import org.hornbeamspread.protocol.schema.Configuration;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.ControlMember;
@@ -101,7 +102,7 @@
                 new RpcMethod<>(
                         SERVICE + "ReplaceControlMember",
                         ReplaceControlMemberRequest.getDefaultInstance(),
-                        request -> led(Operations::replaceMember),
+                        request -> led(() -> replaceMember(request)),
                         OperationResponse::getFailure));
     }
 
@@ -182,9 +183,24 @@
                 .thenApply(done -> OperationResponse.getDefaultInstance());
     }
 
-    private static CompletableFuture<OperationResponse> replaceMember() {
-        return CompletableFuture.failedFuture(
-                new FailureException(FailureType.INVALID_REQUEST, "ReplaceControlMember is not offered yet"));
+    /** The old member leaves and the new one joins without a vote; the log gives it one once it has caught up. */
+    private CompletableFuture<OperationResponse> replaceMember(ReplaceControlMemberRequest request) {
+        List<ControlMember> present = members.get();
+        ChangeMembers.Builder next = ChangeMembers.newBuilder();
+        present.stream()
+                .filter(member -> !member.getMemberId().equals(request.getMemberId()))
+                .forEach(member -> next.addMembers(member.toBuilder().clearMatchedIndex()));
+        boolean complete = request.getReplacement().hasPeer()
+                && request.getReplacement().hasHttp()
+                && !request.getReplacement().getMemberId().isEmpty();
+        if (next.getMembersCount() == present.size() || !complete) {
+            return CompletableFuture.failedFuture(new FailureException(
+                    FailureType.INVALID_REQUEST, "member_id must be a member, and replacement complete"));
+        }
+        next.addMembers(request.getReplacement());
+        return log.propose(
+                        command(request.getRequestId()).setChangeMembers(next).build())
+                .thenApply(Operations::response);
     }
 
     private static OperationResponse response(CommandResult result) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/PromotionSearch.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/PromotionSearch.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.LinkedList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -179,13 +179,14 @@
     }
 
     private List<String> history(ModelState end) {
-        LinkedList<String> steps = new LinkedList<>();
+        List<String> steps = new ArrayList<>();
         ModelState state = end;
         while (state != null) {
             Step step = reached.get(state);
-            steps.addFirst(step.name);
+            steps.add(step.name);
             state = step.before;
         }
+        Collections.reverse(steps);
         return steps;
     }
 
