Interactive transactions; reads and holdings of a proxy that is cut off

A transaction runs at the primary on a connection pinned to it. Begin goes to the primary's holder, everything after it to the proxy that the id names, both as whole calls: relaying single frames was ruled out, because the connection, its queue and the acknowledgement would then be in two processes.

Without a fresh lease a holder starts no write, and a read only while the database's own report counts no connection but this proxy's. The primary then counts as a replica of a proven age.

Tests on a paused clock: pinned connection beside other work, abandoned and unanswered transactions, ids of dead proxies, reads and refusals after the lease.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabases.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabases.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -17,17 +18,14 @@
 /**
  * The databases whose slots and connections this proxy holds.
  *
- * <p>Control names a new holder only after the old one confirmed a view without its holding, or after its lease ran
- * out. So a holder with a fresh lease is the only one. Once the lease has run out another proxy may have been named, and
- * this one starts no write. Reads it still starts, but only while the database's own reports, none older than {@link
- * #REPORT_MAX_AGE}, count no connection besides this proxy's: then nobody else can use a slot. A proxy that is cut off
- * together with a database thus goes on serving reads, and one that was replaced stops within a report.
+ * <p>{@link HoldingRule} says when work may start. Connections of a database that is no longer held are closed when idle
+ * at once, and otherwise when what runs on them has ended.
  *
  * <p>Owned by the dispatcher's thread.
  */
 final class HeldDatabases {
+    private static final Duration FOREVER = Duration.ofDays(1);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(20);
-    private static final Duration REPORT_MAX_AGE = Duration.ofMillis(300);
 
     private final Dispatcher dispatcher;
     private final PeerTransport transport;
@@ -90,8 +88,14 @@
         if (database == null || database.holderEpoch() != holderEpoch) {
             return Optional.empty();
         }
-        boolean allowed = publisher.isFresh() || (readOnly && isOnlyUser(databaseId, database));
-        return allowed ? Optional.of(database) : Optional.empty();
+        return mayStart(databaseId, database, readOnly) ? Optional.of(database) : Optional.empty();
+    }
+
+    /** Whether a read may be sent: to another holder always, to this one while it may use the database. */
+    boolean mayRead(DatabaseEntry database) {
+        return !database.getHolderProxyId().equals(proxyId)
+                || usable(database.getDatabaseId(), database.getHolderEpoch(), true)
+                        .isPresent();
     }
 
     /** Statements that wait or run at a held database. */
@@ -104,18 +108,30 @@
         return held;
     }
 
+    /** What control is told of the holdings. */
+    List<org.hornbeamspread.protocol.schema.HeldDatabase> wire() {
+        return held.entrySet().stream()
+                .map(entry -> org.hornbeamspread.protocol.schema.HeldDatabase.newBuilder()
+                        .setDatabaseId(entry.getKey())
+                        .setHolderEpoch(entry.getValue().holderEpoch())
+                        .build())
+                .toList();
+    }
+
     private HeldDatabase take(ViewSnapshot view, DatabaseEntry database) {
         SlotScheduler scheduler = schedulers.create(view.configuration(), database);
         return new HeldDatabase(dispatcher, transport, database, scheduler, proxyId);
     }
 
-    private boolean isOnlyUser(String databaseId, HeldDatabase database) {
-        Optional<DatabaseLink> link = databases.link(databaseId);
+    private boolean mayStart(String databaseId, HeldDatabase database, boolean readOnly) {
+        Optional<DatabaseLink> link = databases.link(databaseId).filter(DatabaseLink::isConnected);
         Optional<PositionReport> report = link.flatMap(DatabaseLink::lastReport);
-        return report.isPresent()
-                && link.get().isConnected()
-                && link.get().silence().compareTo(REPORT_MAX_AGE) <= 0
-                && report.get().getConnections() <= database.pool().openConnections();
+        return HoldingRule.mayStart(
+                publisher.isFresh(),
+                readOnly,
+                link.map(DatabaseLink::silence).orElse(FOREVER),
+                report.map(PositionReport::getConnections).orElse(Integer.MAX_VALUE),
+                database.pool().openConnections());
     }
 
     /** A database that restarted elsewhere needs new connections also when the holder stays. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMetrics.java
@@ -4,10 +4,13 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
 import org.hornbeamspread.core.misc.FailureType;
 
 /** The proxy's counters. Safe for any thread. */
 final class ProxyMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
     private final Counter refusals;
     private final Counter retries;
     private final Counter statements;
@@ -66,9 +69,9 @@
         retries.labelValues(type.name()).inc();
     }
 
-    void answered(String kind, String rank, String effect, double seconds) {
+    void answered(String kind, String rank, String effect, Duration taken) {
         statements.labelValues(kind, rank, effect).inc();
-        latency.labelValues(rank).observe(seconds);
+        latency.labelValues(rank).observe(taken.toNanos() / NANOS_PER_SECOND);
     }
 
     void readServed(boolean fromReplica) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
@@ -12,6 +12,8 @@
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.http.RpcServer;
 import org.hornbeamspread.protocol.schema.DatabaseObservation;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.HeldDatabase;
 import org.hornbeamspread.protocol.schema.ProxyEntry;
 import org.hornbeamspread.protocol.schema.RenewView;
 import org.hornbeamspread.transport.PeerServer;
@@ -37,6 +39,7 @@
     private final HeldDatabases held;
     private final InFlight inFlight;
     private final WritePath writes;
+    private final Transactions transactions;
     private final StatementsService statements;
     private final ControlLink controlLink;
     private final PeerService peers;
@@ -47,6 +50,8 @@
     private volatile ViewSnapshot confirmed = ViewSnapshot.NONE;
 
     private volatile List<DatabaseObservation> observations = List.of();
+    private volatile List<HeldDatabase> holdings = List.of();
+    private volatile int openTransactions;
     private volatile boolean draining;
 
     /** Null until {@link #start}. */
@@ -78,8 +83,16 @@
         this.inFlight = new InFlight();
         this.writes = new WritePath(requests, publisher, databases, executor, inFlight);
         ReadPath reads = new ReadPath(requests, publisher, databases, held, executor, inFlight, metrics, settings);
+        this.transactions = new Transactions(requests, publisher, held, writes, settings, incarnation);
         this.statements = new StatementsService(
-                requests, publisher, writes, reads, new RetryLoop(requests, metrics), metrics, settings);
+                requests,
+                publisher,
+                writes,
+                reads,
+                new TransactionService(requests, publisher, transactions, settings, incarnation),
+                new RetryLoop(requests, metrics),
+                metrics,
+                settings);
         this.controlLink =
                 new ControlLink(control, transport, settings.control(), publisher, this::renewal, this::onView);
     }
@@ -91,6 +104,7 @@
         requests.execute(() -> {
             databases.start();
             held.start();
+            transactions.start();
             observe();
             updateGauges();
         });
@@ -152,7 +166,12 @@
     }
 
     private boolean isIdle() {
-        return statements.inProgress() == 0 && peers.inProgress() == 0;
+        return statements.inProgress() == 0 && peers.inProgress() == 0 && openTransactions == 0;
+    }
+
+    /** Port 0 takes a free one. */
+    private static Endpoint bound(Endpoint setting, int port) {
+        return setting.toBuilder().setPort(port).build();
     }
 
     private RenewView renewal() {
@@ -162,14 +181,15 @@
                         .setProxyId(settings.proxyId())
                         .setFailureDomain(settings.failureDomain())
                         .setRegion(settings.region())
-                        .setPeer(settings.peerEndpoint())
-                        .setHttp(settings.httpEndpoint())
+                        .setPeer(bound(settings.peerEndpoint(), peerServer.port()))
+                        .setHttp(bound(settings.httpEndpoint(), http.port()))
                         .setConfigurationVersion(view.configurationVersion())
                         .setDraining(draining)
                         .setIncarnation(incarnation))
                 .setLeaderTerm(view.leaderTerm())
                 .setViewVersion(view.version())
                 .addAllObservations(observations)
+                .addAllHeld(holdings)
                 .build();
     }
 
@@ -180,6 +200,7 @@
             writes.view(view);
             inFlight.view(view);
             held.view(view);
+            holdings = held.wire();
             confirmed = view;
             controlLink.renewNow();
         });
@@ -187,6 +208,7 @@
 
     private void observe() {
         observations = databases.observations(confirmed);
+        openTransactions = transactions.openTransactions();
         requests.schedule(OBSERVATION_INTERVAL, this::observe);
     }
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ReadPath.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ReadPath.java
@@ -102,8 +102,7 @@
             if (group.isEmpty()) {
                 return failed(FailureType.NO_PRIMARY, request.group() + " is not in the view");
             }
-            ReadDecision decision =
-                    router.decide(candidates(view, group.get()), position, request.allowance(), mayWait);
+            ReadDecision decision = router.decide(candidates(group.get()), position, request.allowance(), mayWait);
             if (decision instanceof ReadDecision.Replica replica) {
                 return execute(view, group.get(), replica.databaseId());
             }
@@ -188,16 +187,18 @@
                     .build();
         }
 
-        private List<ReadCandidate> candidates(ViewSnapshot view, GroupView group) {
+        /** Without a fresh lease the primary may have been replaced; it then counts as a replica of a proven age. */
+        private List<ReadCandidate> candidates(GroupView group) {
             GroupState state = databases.group(group.getGroup());
             Instant now = dispatcher.clock().instant();
+            boolean leaseFresh = publisher.current().isFreshAt(now);
             List<ReadCandidate> candidates = new ArrayList<>();
             for (DatabaseEntry database : group.getDatabasesList()) {
                 LogPosition applied = state.applied(database.getDatabaseId());
                 candidates.add(new ReadCandidate(
                         database.getDatabaseId(),
-                        database.getDatabaseId().equals(group.getPrimaryId()),
-                        isUsable(view, database),
+                        leaseFresh && database.getDatabaseId().equals(group.getPrimaryId()),
+                        isUsable(database),
                         Proximity.of(failureDomain, region, database.getFailureDomain(), database.getRegion()),
                         applied,
                         state.age().bound(applied, now),
@@ -207,7 +208,7 @@
             return candidates;
         }
 
-        private boolean isUsable(ViewSnapshot view, DatabaseEntry database) {
+        private boolean isUsable(DatabaseEntry database) {
             return !database.getDeparting()
                     && !failedDatabases.contains(database.getDatabaseId())
                     && !database.getHolderProxyId().isEmpty()
@@ -215,7 +216,7 @@
                             .link(database.getDatabaseId())
                             .filter(DatabaseLink::isConnected)
                             .isPresent()
-                    && view.database(database.getDatabaseId()).isPresent();
+                    && held.mayRead(database);
         }
     }
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/StatementsService.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/StatementsService.java
@@ -5,10 +5,15 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.retry.StatementKind;
 import org.hornbeamspread.http.RpcMethod;
+import org.hornbeamspread.protocol.schema.BeginRequest;
+import org.hornbeamspread.protocol.schema.BeginResponse;
+import org.hornbeamspread.protocol.schema.EndRequest;
 import org.hornbeamspread.protocol.schema.ExecuteRequest;
 import org.hornbeamspread.protocol.schema.ExecuteResponse;
 import org.hornbeamspread.transport.Envelopes;
@@ -18,10 +23,14 @@
  * run on the dispatcher's thread. Every failure is an answer with its type and effect.
  */
 final class StatementsService {
+    private static final String SERVICE = "hornbeamspread.Statements/";
+    private static final String NO_RANK = "unknown";
+
     private final Dispatcher dispatcher;
     private final ViewPublisher publisher;
     private final WritePath writes;
     private final ReadPath reads;
+    private final TransactionService transactions;
     private final RetryLoop retries;
     private final ProxyMetrics metrics;
     private final ProxySettings settings;
@@ -33,6 +42,7 @@
             ViewPublisher publisher,
             WritePath writes,
             ReadPath reads,
+            TransactionService transactions,
             RetryLoop retries,
             ProxyMetrics metrics,
             ProxySettings settings) {
@@ -40,6 +50,7 @@
         this.publisher = publisher;
         this.writes = writes;
         this.reads = reads;
+        this.transactions = transactions;
         this.retries = retries;
         this.metrics = metrics;
         this.settings = settings;
@@ -47,11 +58,17 @@
 
     /** The methods to serve. */
     List<RpcMethod<?, ?>> methods() {
-        return List.of(new RpcMethod<>(
-                "hornbeamspread.Statements/Execute",
-                ExecuteRequest.getDefaultInstance(),
-                this::execute,
-                ExecuteResponse::getFailure));
+        EndRequest end = EndRequest.getDefaultInstance();
+        return List.of(
+                new RpcMethod<>(
+                        SERVICE + "Execute",
+                        ExecuteRequest.getDefaultInstance(),
+                        this::execute,
+                        ExecuteResponse::getFailure),
+                new RpcMethod<>(
+                        SERVICE + "Begin", BeginRequest.getDefaultInstance(), this::begin, BeginResponse::getFailure),
+                new RpcMethod<>(SERVICE + "Commit", end, this::commit, ExecuteResponse::getFailure),
+                new RpcMethod<>(SERVICE + "Rollback", end, this::rollback, ExecuteResponse::getFailure));
     }
 
     /** Requests in progress. */
@@ -64,66 +81,113 @@
         closed = true;
     }
 
-    /** Runs one request; from any thread. */
+    /** Runs statements; from any thread. */
     CompletableFuture<ExecuteResponse> execute(ExecuteRequest request) {
         Instant arrivedAt = dispatcher.clock().instant();
-        CompletableFuture<ExecuteResponse> result = new CompletableFuture<>();
-        if (inProgress.incrementAndGet() > settings.maxRequests()) {
-            finish(request, arrivedAt, result, null, new FailureException(FailureType.RING_FULL, "too many requests"));
-        } else if (closed) {
-            finish(request, arrivedAt, result, null, new FailureException(FailureType.DRAINING, settings.proxyId()));
-        } else if (!dispatcher.tryExecute(() -> run(request, arrivedAt)
-                .whenComplete((answer, error) -> finish(request, arrivedAt, result, answer, error)))) {
-            finish(request, arrivedAt, result, null, new FailureException(FailureType.RING_FULL, "requests"));
-        }
-        return result;
+        String rank = knownRank(request.getRank());
+        String kind = request.getReadOnly() ? "read" : "write";
+        return admit(() -> run(request, arrivedAt), request.getTransactionId().isEmpty())
+                .handle((answer, error) -> {
+                    ExecuteResponse response = error == null
+                            ? answer
+                            : failure(request.getSessionToken(), rank, FailureException.of(error));
+                    Duration taken =
+                            Duration.between(arrivedAt, dispatcher.clock().instant());
+                    metrics.answered(kind, rank, response.getEffect().name(), taken);
+                    return signed(response);
+                });
+    }
+
+    /** Begins a transaction; from any thread. */
+    CompletableFuture<BeginResponse> begin(BeginRequest request) {
+        Instant arrivedAt = dispatcher.clock().instant();
+        return admit(() -> transactions.begin(request, arrivedAt), true).handle((answer, error) -> {
+            if (error == null) {
+                return answer;
+            }
+            FailureException failure = FailureException.of(error);
+            metrics.refused(failure.type(), knownRank(request.getRank()));
+            return TransactionService.failed(failure);
+        });
+    }
+
+    private CompletableFuture<ExecuteResponse> commit(EndRequest request) {
+        return end(request, transactions::commit);
+    }
+
+    private CompletableFuture<ExecuteResponse> rollback(EndRequest request) {
+        return end(request, transactions::rollback);
+    }
+
+    private CompletableFuture<ExecuteResponse> end(
+            EndRequest request, Function<EndRequest, CompletableFuture<ExecuteResponse>> method) {
+        return admit(() -> method.apply(request), false)
+                .handle((answer, error) -> signed(
+                        error == null
+                                ? answer
+                                : failure(request.getSessionToken(), NO_RANK, FailureException.of(error))));
     }
 
     private CompletableFuture<ExecuteResponse> run(ExecuteRequest request, Instant arrivedAt) {
-        StatementRequest checked;
-        try {
-            checked = StatementRequest.of(request, publisher.current().view(), arrivedAt);
-        } catch (FailureException e) {
-            return CompletableFuture.failedFuture(e);
+        if (!request.getTransactionId().isEmpty()) {
+            return transactions.execute(request);
         }
+        StatementRequest checked =
+                StatementRequest.of(request, publisher.current().view(), arrivedAt);
         if (checked.kind() == StatementKind.READ) {
             return retries.run(checked, reads.read(checked)::attempt);
         }
         return retries.run(checked, () -> writes.attempt(checked));
     }
 
-    private void finish(
-            ExecuteRequest request,
-            Instant arrivedAt,
-            CompletableFuture<ExecuteResponse> result,
-            ExecuteResponse answer,
-            Throwable error) {
-        metrics.inProgress(inProgress.decrementAndGet());
-        ExecuteResponse.Builder response;
-        if (error == null) {
-            response = answer.toBuilder();
-        } else {
-            response = failure(request, FailureException.of(error));
+    /** Runs work on the dispatcher's thread. A drained proxy takes nothing new, but lets open transactions end. */
+    private <T> CompletableFuture<T> admit(Supplier<CompletableFuture<T>> work, boolean startsWork) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        metrics.inProgress(inProgress.incrementAndGet());
+        if (closed && startsWork) {
+            result.completeExceptionally(new FailureException(FailureType.DRAINING, settings.proxyId()));
+        } else if (inProgress.get() > settings.maxRequests()) {
+            result.completeExceptionally(new FailureException(FailureType.RING_FULL, "too many requests"));
+        } else if (!dispatcher.tryExecute(() -> start(work, result))) {
+            result.completeExceptionally(new FailureException(FailureType.RING_FULL, "requests"));
         }
-        Duration taken = Duration.between(arrivedAt, dispatcher.clock().instant());
-        metrics.answered(
-                request.getReadOnly() ? "read" : "write",
-                knownRank(request.getRank()),
-                response.getEffect().name(),
-                taken.toNanos() / 1e9);
-        result.complete(response.setProxyId(settings.proxyId()).build());
+        return result.whenComplete((answer, error) -> metrics.inProgress(inProgress.decrementAndGet()));
     }
 
-    private ExecuteResponse.Builder failure(ExecuteRequest request, FailureException failure) {
-        metrics.refused(failure.type(), knownRank(request.getRank()));
+    private static <T> void start(Supplier<CompletableFuture<T>> work, CompletableFuture<T> result) {
+        CompletableFuture<T> running;
+        try {
+            running = work.get();
+        } catch (RuntimeException e) {
+            running = CompletableFuture.failedFuture(e);
+        }
+        running.whenComplete((answer, error) -> {
+            if (error != null) {
+                result.completeExceptionally(FailureException.of(error));
+            } else {
+                result.complete(answer);
+            }
+        });
+    }
+
+    private ExecuteResponse failure(String token, String rank, FailureException failure) {
+        metrics.refused(failure.type(), rank);
         return ExecuteResponse.newBuilder()
                 .setEffect(Envelopes.effect(failure.type().effect()))
                 .setFailure(Envelopes.failure(failure))
-                .setSessionToken(request.getSessionToken());
+                .setSessionToken(token)
+                .build();
+    }
+
+    /** Names the proxy that answered; a passed-on answer keeps its own. */
+    private ExecuteResponse signed(ExecuteResponse response) {
+        return response.getProxyId().isEmpty()
+                ? response.toBuilder().setProxyId(settings.proxyId()).build()
+                : response;
     }
 
     /** Callers must not make new time series. */
     private String knownRank(String rank) {
-        return publisher.current().view().rank(rank).isPresent() ? rank : "unknown";
+        return publisher.current().view().rank(rank).isPresent() ? rank : NO_RANK;
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/Transactions.java
@@ -0,0 +1,292 @@
+package org.hornbeamspread.proxy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.core.routing.GroupRouting;
+import org.hornbeamspread.core.session.SessionToken;
+import org.hornbeamspread.protocol.schema.BeginRequest;
+import org.hornbeamspread.protocol.schema.BeginTransaction;
+import org.hornbeamspread.protocol.schema.CommitTransaction;
+import org.hornbeamspread.protocol.schema.DatabaseEntry;
+import org.hornbeamspread.protocol.schema.Effect;
+import org.hornbeamspread.protocol.schema.EndRequest;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.ExecuteRequest;
+import org.hornbeamspread.protocol.schema.ExecuteResponse;
+import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.GroupView;
+import org.hornbeamspread.protocol.schema.RollbackTransaction;
+import org.hornbeamspread.protocol.schema.ServiceDefinition;
+import org.hornbeamspread.protocol.schema.StatementsExecuted;
+import org.hornbeamspread.protocol.schema.TransactionEnded;
+import org.hornbeamspread.transport.Envelopes;
+import org.hornbeamspread.transport.PeerConnection;
+
+/**
+ * The interactive transactions on this proxy's connections.
+ *
+ * <p>A transaction runs at the primary, on one connection that is pinned to it from begin to end; nothing else is sent
+ * there meanwhile. The connection goes back to the pool only after a commit or rollback that was answered in full. A
+ * transaction that is idle for too long, whose answer is missing, or whose end is not known is closed with its
+ * connection: the database then drops what was not committed. Owned by the dispatcher's thread.
+ */
+final class Transactions {
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
+
+    private final Dispatcher dispatcher;
+    private final ViewPublisher publisher;
+    private final HeldDatabases held;
+    private final WritePath writes;
+    private final String proxyId;
+    private final long incarnation;
+    private final Duration idleLimit;
+    private final Map<TransactionId, OpenTransaction> open = new HashMap<>();
+
+    Transactions(
+            Dispatcher dispatcher,
+            ViewPublisher publisher,
+            HeldDatabases held,
+            WritePath writes,
+            ProxySettings settings,
+            long incarnation) {
+        this.dispatcher = dispatcher;
+        this.publisher = publisher;
+        this.held = held;
+        this.writes = writes;
+        this.proxyId = settings.proxyId();
+        this.incarnation = incarnation;
+        this.idleLimit = Duration.ofMillis(settings.idleTransactionMs());
+    }
+
+    void start() {
+        dispatcher.schedule(CHECK_INTERVAL, this::closeIdle);
+    }
+
+    /** Transactions that are open. */
+    int openTransactions() {
+        return open.size();
+    }
+
+    /** The primary that a transaction would run at. Fails with the type of a refused write. */
+    DatabaseEntry primary(BeginRequest request) {
+        LeasedView leased = publisher.current();
+        return writes.primary(leased.view(), group(leased, request));
+    }
+
+    /** Begins a transaction at a database that this proxy holds. */
+    CompletableFuture<TransactionId> begin(BeginRequest request, Instant arrivedAt) {
+        LeasedView leased = publisher.current();
+        ServiceDefinition service = StatementRequest.service(leased.view(), request.getService());
+        StatementRequest.checkRank(leased.view(), request.getRank());
+        GroupView group = group(leased, request);
+        DatabaseEntry primary = writes.primary(leased.view(), group);
+        HeldDatabase database = held.usable(primary.getDatabaseId(), primary.getHolderEpoch(), false)
+                .orElseThrow(() -> new FailureException(FailureType.WRONG_HOLDER, primary.getDatabaseId()));
+        if (openAt(database) >= Math.max(1, primary.getConnectionLimit() - primary.getSlots())) {
+            throw new FailureException(FailureType.CONNECTION_LIMIT, "open transactions");
+        }
+        int timeoutMs = StatementRequest.timeoutMs(request.getTimeoutMs(), service);
+        WorkOrder order = new WorkOrder(request.getRank(), request.getCallerId(), arrivedAt.plusMillis(timeoutMs));
+        return database.pool()
+                .acquire()
+                .thenCompose(connection -> beginOn(connection, request, group, database, order, timeoutMs));
+    }
+
+    /** Runs statements inside a transaction. */
+    CompletableFuture<ExecuteResponse> execute(TransactionId id, ExecuteRequest request) {
+        OpenTransaction transaction = find(id, FailureType.UNKNOWN_TRANSACTION);
+        WorkOrder order = transaction.use(dispatcher.clock().instant(), request.getTimeoutMs());
+        Envelope statements = Envelope.newBuilder()
+                .setExecuteStatements(ExecuteStatements.newBuilder()
+                        .setTerm(
+                                transaction.readOnly() ? 0 : transaction.group().getTerm())
+                        .setReadOnly(transaction.readOnly())
+                        .addAllStatements(request.getStatementsList()))
+                .build();
+        HeldDatabase database = transaction.database();
+        return database.queue()
+                .run(order, () -> database.send(transaction.connection(), statements, order))
+                .handle((answer, error) -> {
+                    transaction.free(dispatcher.clock().instant());
+                    if (error != null) {
+                        throw statementFailed(transaction, FailureException.of(error));
+                    }
+                    return executed(transaction, answer.getStatementsExecuted(), request);
+                });
+    }
+
+    /** Commits, and answers once the commit may be acknowledged. */
+    CompletableFuture<ExecuteResponse> commit(TransactionId id, EndRequest request) {
+        OpenTransaction transaction = find(id, FailureType.TRANSACTION_LOST);
+        if (!transaction.readOnly()) {
+            writes.writableGroup(publisher.current(), transaction.group().getGroup());
+        }
+        WorkOrder order = transaction.use(dispatcher.clock().instant(), 0);
+        Envelope commit = Envelope.newBuilder()
+                .setCommitTransaction(CommitTransaction.newBuilder().setIdempotencyKey(request.getIdempotencyKey()))
+                .build();
+        return end(transaction, commit, order).thenCompose(ended -> acknowledged(transaction, ended, order, request));
+    }
+
+    /** Drops a transaction's work. */
+    CompletableFuture<ExecuteResponse> rollback(TransactionId id, EndRequest request) {
+        OpenTransaction transaction = find(id, FailureType.UNKNOWN_TRANSACTION);
+        WorkOrder order = transaction.use(dispatcher.clock().instant(), 0);
+        Envelope rollback = Envelope.newBuilder()
+                .setRollbackTransaction(RollbackTransaction.getDefaultInstance())
+                .build();
+        return end(transaction, rollback, order)
+                .handle((ended, error) -> ExecuteResponse.newBuilder()
+                        .setEffect(Effect.DONE)
+                        .setSessionToken(request.getSessionToken())
+                        .setDatabaseId(transaction.group().getPrimaryId())
+                        .build());
+    }
+
+    private GroupView group(LeasedView leased, BeginRequest request) {
+        ServiceDefinition service = StatementRequest.service(leased.view(), request.getService());
+        String name = GroupRouting.groupOf(service.getGroupsList(), request.getRoutingKey());
+        return writes.writableGroup(leased, name);
+    }
+
+    private CompletableFuture<TransactionId> beginOn(
+            PeerConnection connection,
+            BeginRequest request,
+            GroupView group,
+            HeldDatabase database,
+            WorkOrder order,
+            int timeoutMs) {
+        Envelope begin = Envelope.newBuilder()
+                .setBeginTransaction(BeginTransaction.newBuilder()
+                        .setTerm(request.getReadOnly() ? 0 : group.getTerm())
+                        .setReadOnly(request.getReadOnly()))
+                .build();
+        return database.send(connection, begin, order)
+                .handleAsync(
+                        (answer, error) -> {
+                            if (error != null) {
+                                database.pool().discard(connection);
+                                throw FailureException.of(error);
+                            }
+                            TransactionId id = TransactionId.create(proxyId, incarnation);
+                            Instant now = dispatcher.clock().instant();
+                            open.put(
+                                    id,
+                                    new OpenTransaction(
+                                            id,
+                                            group,
+                                            database,
+                                            connection,
+                                            request.getReadOnly(),
+                                            order,
+                                            timeoutMs,
+                                            now));
+                            return id;
+                        },
+                        dispatcher);
+    }
+
+    private OpenTransaction find(TransactionId id, FailureType missing) {
+        OpenTransaction transaction = open.get(id);
+        if (transaction == null) {
+            throw new FailureException(missing, "closed, or never open here");
+        }
+        if (transaction.isBusy()) {
+            throw new FailureException(FailureType.INVALID_REQUEST, "a request of this transaction is in progress");
+        }
+        return transaction;
+    }
+
+    private FailureException statementFailed(OpenTransaction transaction, FailureException failure) {
+        if (HeldDatabase.leavesAnswerOpen(failure) || !transaction.connection().isOpen()) {
+            close(transaction);
+            return new FailureException(
+                    FailureType.TRANSACTION_LOST, failure.type().name());
+        }
+        return failure;
+    }
+
+    private ExecuteResponse executed(OpenTransaction transaction, StatementsExecuted executed, ExecuteRequest request) {
+        LogPosition state = Envelopes.position(executed.getPosition());
+        SessionToken token = SessionToken.decode(request.getSessionToken())
+                .withRead(transaction.group().getGroup(), state);
+        return ExecuteResponse.newBuilder()
+                .setEffect(Effect.DONE)
+                .addAllResults(executed.getResultsList())
+                .setSessionToken(token.encode())
+                .setDatabaseId(transaction.group().getPrimaryId())
+                .build();
+    }
+
+    /** Ends the transaction at the database. Whatever comes back, the transaction is over. */
+    private CompletableFuture<TransactionEnded> end(OpenTransaction transaction, Envelope request, WorkOrder order) {
+        return transaction
+                .database()
+                .send(transaction.connection(), request, order)
+                .handleAsync(
+                        (answer, error) -> {
+                            if (error != null) {
+                                close(transaction);
+                                throw FailureException.of(error);
+                            }
+                            open.remove(transaction.id());
+                            transaction.database().pool().release(transaction.connection());
+                            return answer.getTransactionEnded();
+                        },
+                        dispatcher);
+    }
+
+    private CompletableFuture<ExecuteResponse> acknowledged(
+            OpenTransaction transaction, TransactionEnded ended, WorkOrder order, EndRequest request) {
+        SessionToken token = SessionToken.decode(request.getSessionToken());
+        String group = transaction.group().getGroup();
+        ExecuteResponse.Builder response = ExecuteResponse.newBuilder()
+                .setEffect(Effect.DONE)
+                .setDatabaseId(transaction.group().getPrimaryId())
+                .setReplayed(ended.getReplayed())
+                .addAllResults(ended.getFirstResultsList());
+        LogPosition position = Envelopes.position(ended.getPosition());
+        if (transaction.readOnly()) {
+            return CompletableFuture.completedFuture(
+                    response.setSessionToken(token.withRead(group, position).encode())
+                            .build());
+        }
+        StatementsExecuted executed = StatementsExecuted.newBuilder()
+                .setPosition(ended.getPosition())
+                .setTerm(ended.getTerm())
+                .build();
+        return writes.acknowledge(transaction.group(), executed, order)
+                .thenApply(acknowledged -> response.setSessionToken(
+                                token.withWrite(group, acknowledged).encode())
+                        .build());
+    }
+
+    private int openAt(HeldDatabase database) {
+        return (int) open.values().stream()
+                .filter(transaction -> transaction.database() == database)
+                .count();
+    }
+
+    private void closeIdle() {
+        Instant limit = dispatcher.clock().instant().minus(idleLimit);
+        for (OpenTransaction transaction : List.copyOf(open.values())) {
+            boolean idle = !transaction.isBusy() && !transaction.lastUsedAt().isAfter(limit);
+            if (idle || !transaction.connection().isOpen()) {
+                close(transaction);
+            }
+        }
+        dispatcher.schedule(CHECK_INTERVAL, this::closeIdle);
+    }
+
+    private void close(OpenTransaction transaction) {
+        open.remove(transaction.id());
+        transaction.database().pool().discard(transaction.connection());
+    }
+}
--- a/proxy/src/test/java/org/hornbeamspread/proxy/FakeDatabase.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/FakeDatabase.java
@@ -1,8 +1,10 @@
 package org.hornbeamspread.proxy;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -59,7 +61,7 @@
     private final PeerServer server;
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
     private final List<PeerConnection> subscribers = new CopyOnWriteArrayList<>();
-    private final List<PeerConnection> connections = new CopyOnWriteArrayList<>();
+    private final Map<String, CompletableFuture<Void>> closing = new ConcurrentHashMap<>();
     private volatile PositionReport report;
 
     FakeDatabase(PeerTransport transport, String databaseId, boolean primary) {
@@ -75,10 +77,20 @@
                 .join();
     }
 
+    String databaseId() {
+        return databaseId;
+    }
+
     Endpoint endpoint() {
         return Endpoint.newBuilder().setHost("127.0.0.1").setPort(server.port()).build();
     }
 
+    /** Changes how many connections the reports count, and tells the subscribers. */
+    void countConnections(int count) {
+        report = report.toBuilder().setConnections(count).build();
+        push();
+    }
+
     /** Moves the log's end and tells the subscribers. */
     void moveTo(long term, long index) {
         Position position = Position.newBuilder().setTerm(term).setIndex(index).build();
@@ -88,8 +100,7 @@
                 .setSynced(position)
                 .setApplied(position)
                 .build();
-        subscribers.forEach(subscriber ->
-                subscriber.push(Envelope.newBuilder().setPositionReport(report).build()));
+        push();
     }
 
     /** The next request of a kind other than Connect and Subscribe. */
@@ -105,16 +116,19 @@
         }
     }
 
-    /** Requests that nobody has taken. */
-    int waitingCalls() {
-        return calls.size();
+    /** Completes when the connection is closed. */
+    CompletableFuture<Void> closed(PeerConnection connection) {
+        return closing.computeIfAbsent(connection.remote(), remote -> new CompletableFuture<>());
     }
 
-    /** Database connections that are open, oldest first. */
-    List<PeerConnection> connections() {
-        List<PeerConnection> open = new ArrayList<>(connections);
-        open.removeIf(connection -> !connection.isOpen());
-        return open;
+    private void push() {
+        subscribers.forEach(subscriber ->
+                subscriber.push(Envelope.newBuilder().setPositionReport(report).build()));
+    }
+
+    @Override
+    public void onClose(PeerConnection connection) {
+        closed(connection).complete(null);
     }
 
     @Override
@@ -128,12 +142,10 @@
                         .setSubscribed(Subscribed.newBuilder().setReport(report))
                         .build());
             }
-            case CONNECT -> {
-                connections.add(connection);
+            case CONNECT ->
                 answer.accept(Envelope.newBuilder()
                         .setConnected(Connected.newBuilder().setDatabaseId(databaseId))
                         .build());
-            }
             default -> calls.add(new Call(connection, request, answer));
         }
     }
--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/PartitionTest.java
@@ -0,0 +1,94 @@
+package org.hornbeamspread.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.hornbeamspread.protocol.schema.Effect;
+import org.hornbeamspread.protocol.schema.ExecuteRequest;
+import org.hornbeamspread.protocol.schema.ExecuteResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** A proxy that is cut off from control, on a paused clock: its lease runs out after one second. */
+final class PartitionTest {
+    private static final Duration LEASE = Duration.ofSeconds(1);
+    private static final LogPosition END = new LogPosition(1, 5);
+
+    private final PausedClock clock = new PausedClock();
+    private final TestBed bed = new TestBed(clock);
+
+    @BeforeEach
+    void cutOff() {
+        TestBed.awaitSeen(bed.first, "b", END);
+        bed.control.grant(false);
+        clock.advance(LEASE);
+        bed.near.moveTo(1, 6);
+        bed.first.awaitApplied(TestViews.GROUP, "b", new LogPosition(1, 6)).join();
+    }
+
+    @AfterEach
+    void close() {
+        bed.close();
+    }
+
+    @Test
+    void readsWithinTheAllowanceAreServedFromAReplica() {
+        CompletableFuture<ExecuteResponse> read =
+                bed.execute("p1", TestBed.read().build());
+        bed.near.next().executed(1, 6, "old");
+        assertThat(read.join().getEffect()).isEqualTo(Effect.DONE);
+        assertThat(read.join().getAgeBoundMs()).isEqualTo(LEASE.toMillis());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"a write, false, VIEW_EXPIRED", "a read by id without a token, true, VIEW_EXPIRED"})
+    void whatNeedsTheLeaseIsRefusedAndNotRun(String name, boolean readOnly, String type) {
+        ExecuteRequest request = TestBed.write("key-1").toBuilder()
+                .setReadOnly(readOnly)
+                .setSessionId("agent-7")
+                .setTimeoutMs(4)
+                .build();
+        ExecuteResponse answer = bed.execute("p1", request).join();
+        assertThat(answer.getFailure().getType()).isEqualTo(type);
+        assertThat(answer.getEffect()).isEqualTo(Effect.NOT_RUN);
+    }
+
+    @Test
+    void aReadPastTheAllowanceIsRefused() {
+        ExecuteRequest request =
+                TestBed.read().setStalenessAllowanceMs(999).setTimeoutMs(4).build();
+        ExecuteResponse answer = bed.execute("p1", request).join();
+        assertThat(answer.getFailure().getType()).isEqualTo("NO_REPLICA_IN_TIME");
+    }
+
+    @Test
+    void aReplacedHolderStartsNothing() {
+        bed.near.countConnections(9);
+        bed.near.moveTo(1, 7);
+        bed.first.awaitApplied(TestViews.GROUP, "b", new LogPosition(1, 7)).join();
+        ExecuteResponse answer =
+                bed.execute("p1", TestBed.read().setTimeoutMs(4).build()).join();
+        assertThat(answer.getFailure().getType()).isEqualTo("NO_REPLICA_IN_TIME");
+        assertThat(answer.getEffect()).isEqualTo(Effect.NOT_RUN);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "true, false, 9000, 9, 2, true",
+        "false, false, 0, 0, 2, false",
+        "false, true, 300, 2, 2, true",
+        "false, true, 301, 2, 2, false",
+        "false, true, 0, 3, 2, false",
+    })
+    void whenAHolderMayStartWork(
+            boolean leaseFresh, boolean readOnly, long reportAgeMs, int reported, int own, boolean mayStart) {
+        assertThat(HoldingRule.mayStart(leaseFresh, readOnly, Duration.ofMillis(reportAgeMs), reported, own))
+                .isEqualTo(mayStart);
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
@@ -0,0 +1,124 @@
+package org.hornbeamspread.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.hornbeamspread.protocol.schema.BeginRequest;
+import org.hornbeamspread.protocol.schema.BeginResponse;
+import org.hornbeamspread.protocol.schema.Effect;
+import org.hornbeamspread.protocol.schema.EndRequest;
+import org.hornbeamspread.protocol.schema.ExecuteResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Interactive transactions through whole proxies, on a paused clock. */
+final class TransactionTest {
+    private final PausedClock clock = new PausedClock();
+    private final TestBed bed = new TestBed(clock);
+
+    @AfterEach
+    void close() {
+        bed.close();
+    }
+
+    /** While a transaction is open, statements of others run on other connections. */
+    @ParameterizedTest
+    @ValueSource(strings = {"p1", "p2"})
+    void aTransactionHasItsConnectionToItselfFromBeginToCommit(String proxyId) {
+        CompletableFuture<BeginResponse> begin = begin(proxyId, 0);
+        FakeDatabase.Call begun = bed.primary.next();
+        begun.begun();
+        String id = begin.join().getTransactionId();
+
+        CompletableFuture<ExecuteResponse> other = bed.execute(proxyId, TestBed.write("key-1"));
+        FakeDatabase.Call otherCall = bed.primary.next();
+        CompletableFuture<ExecuteResponse> inside = execute(proxyId, id);
+        FakeDatabase.Call insideCall = bed.primary.next();
+        assertThat(otherCall.connection()).isNotSameInstanceAs(begun.connection());
+        assertThat(insideCall.connection()).isSameInstanceAs(begun.connection());
+        insideCall.executed(1, 5, "inside");
+        otherCall.executed(1, 6, "other");
+        assertThat(inside.join().getResults(0).getRows(0).getColumns(0)).isEqualTo("inside");
+
+        CompletableFuture<ExecuteResponse> commit = end(proxyId, "Commit", id);
+        FakeDatabase.Call committed = bed.primary.next();
+        assertThat(committed.connection()).isSameInstanceAs(begun.connection());
+        committed.ended(1, 7);
+        assertThat(commit.isDone()).isFalse();
+        bed.near.moveTo(1, 7);
+        assertThat(commit.join().getEffect()).isEqualTo(Effect.DONE);
+        assertThat(commit.join().getProxyId()).isEqualTo("p1");
+        assertThat(other.join().getResults(0).getRows(0).getColumns(0)).isEqualTo("other");
+    }
+
+    @Test
+    void anAbandonedTransactionIsClosedWithItsConnection() {
+        CompletableFuture<BeginResponse> begin = begin("p1", 0);
+        FakeDatabase.Call begun = bed.primary.next();
+        begun.begun();
+        String id = begin.join().getTransactionId();
+        clock.advance(Duration.ofMillis(TestBed.IDLE_TRANSACTION_MS));
+        bed.primary.closed(begun.connection()).join();
+        assertFailed(execute("p1", id), "UNKNOWN_TRANSACTION", Effect.NOT_RUN);
+        assertFailed(end("p2", "Commit", id), "TRANSACTION_LOST", Effect.UNKNOWN);
+    }
+
+    /** The answer does not come in time: the outcome is unknown, and the connection is never used again. */
+    @ParameterizedTest
+    @CsvSource({"Execute, TRANSACTION_LOST", "Commit, TIMEOUT_AFTER_SEND"})
+    void aMissingAnswerEndsTheTransaction(String method, String type) {
+        CompletableFuture<BeginResponse> begin = begin("p1", 300);
+        FakeDatabase.Call begun = bed.primary.next();
+        begun.begun();
+        String id = begin.join().getTransactionId();
+        CompletableFuture<ExecuteResponse> late = "Execute".equals(method) ? execute("p1", id) : end("p1", method, id);
+        bed.primary.next();
+        bed.primary.closed(begun.connection()).join();
+        assertFailed(late, type, Effect.UNKNOWN);
+        assertFailed(execute("p1", id), "UNKNOWN_TRANSACTION", Effect.NOT_RUN);
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "p1, p1:1:00, UNKNOWN_TRANSACTION, NOT_RUN",
+        "p2, gone:1:00, UNKNOWN_TRANSACTION, NOT_RUN",
+        "p2, p1:1:00, UNKNOWN_TRANSACTION, NOT_RUN",
+        "p1, nonsense, UNKNOWN_TRANSACTION, NOT_RUN",
+    })
+    void aTransactionDiesWithItsProxy(String proxyId, String id, String type, Effect effect) {
+        assertFailed(execute(proxyId, id), type, effect);
+        if (!"nonsense".equals(id)) {
+            assertFailed(end(proxyId, "Commit", id), "TRANSACTION_LOST", Effect.UNKNOWN);
+        }
+    }
+
+    private static void assertFailed(CompletableFuture<ExecuteResponse> answer, String type, Effect effect) {
+        assertThat(answer.join().getFailure().getType()).isEqualTo(type);
+        assertThat(answer.join().getEffect()).isEqualTo(effect);
+    }
+
+    private CompletableFuture<BeginResponse> begin(String proxyId, int timeoutMs) {
+        BeginRequest request = BeginRequest.newBuilder()
+                .setService("rental-core")
+                .setRank("urgent")
+                .setRoutingKey("club-1")
+                .setTimeoutMs(timeoutMs)
+                .build();
+        return bed.call(proxyId, "Begin", request, BeginResponse.getDefaultInstance());
+    }
+
+    private CompletableFuture<ExecuteResponse> execute(String proxyId, String id) {
+        return bed.execute(
+                proxyId, TestBed.write("").toBuilder().setTransactionId(id).build());
+    }
+
+    private CompletableFuture<ExecuteResponse> end(String proxyId, String method, String id) {
+        EndRequest request = EndRequest.newBuilder().setTransactionId(id).build();
+        return bed.call(proxyId, method, request, ExecuteResponse.getDefaultInstance());
+    }
+}
