--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/RetryLoopTest.java
@@ -0,0 +1,67 @@
+package org.hornbeamspread.proxy;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.retry.StatementKind;
+import org.hornbeamspread.core.session.SessionToken;
+import org.hornbeamspread.protocol.schema.ExecuteRequest;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The outcome of a request whose attempts end one after another as listed. */
+final class RetryLoopTest {
+    private final ManualDispatcher dispatcher = new ManualDispatcher();
+    private final RetryLoop retries = new RetryLoop(dispatcher, new ProxyMetrics(new PrometheusRegistry()));
+
+    @ParameterizedTest
+    @CsvSource({
+        // attempts, kind, outcome, attempts made
+        "NO_PRIMARY WRONG_TERM DONE, UNKEYED_WRITE, DONE, 3",
+        "TERM_CHANGED_AFTER_SEND DONE, KEYED_WRITE, DONE, 2",
+        "TERM_CHANGED_AFTER_SEND DONE, UNKEYED_WRITE, TERM_CHANGED_AFTER_SEND, 1",
+        "NO_PRIMARY STATEMENT_CONFLICT, KEYED_WRITE, STATEMENT_CONFLICT, 2",
+        "TIMEOUT_AFTER_SEND STATEMENT_CONFLICT, KEYED_WRITE, TIMEOUT_AFTER_SEND, 2",
+        "CONNECTION_LOST_AFTER_SEND QUEUE_FULL, KEYED_WRITE, CONNECTION_LOST_AFTER_SEND, 2",
+        "TERM_CHANGED_AFTER_SEND NO_PRIMARY DEPARTING DRAINING, KEYED_WRITE, TERM_CHANGED_AFTER_SEND, 4",
+        "CONNECTION_LIMIT CONNECTION_LIMIT DONE, READ, RETRY_BUDGET_SPENT, 2",
+        "TIMEOUT_AFTER_SEND TIMEOUT_AFTER_SEND DONE, READ, TIMEOUT_AFTER_SEND, 2",
+    })
+    void noLaterRefusalTurnsAnUnknownOutcomeIntoNotRun(
+            String attempts, StatementKind kind, String outcome, int attemptsMade) {
+        Iterator<String> ends = Arrays.asList(attempts.split(" ", -1)).iterator();
+        int[] made = {0};
+        CompletableFuture<String> result = retries.run(request(kind), () -> {
+            made[0]++;
+            return end(ends.next());
+        });
+        dispatcher.advance(Duration.ofMillis(500));
+        assertThat(result.exceptionally(
+                                error -> FailureException.of(error).type().name())
+                        .join())
+                .isEqualTo(outcome);
+        assertThat(made[0]).isEqualTo(attemptsMade);
+    }
+
+    private static CompletableFuture<String> end(String name) {
+        return "DONE".equals(name)
+                ? CompletableFuture.completedFuture(name)
+                : CompletableFuture.failedFuture(new FailureException(FailureType.valueOf(name), ""));
+    }
+
+    private StatementRequest request(StatementKind kind) {
+        return new StatementRequest(
+                ExecuteRequest.getDefaultInstance(),
+                TestViews.GROUP,
+                SessionToken.EMPTY,
+                kind,
+                Duration.ZERO,
+                new WorkOrder("urgent", "agent-7", dispatcher.clock().instant().plusSeconds(1)));
+    }
+}
