--- a/core/src/main/java/org/hornbeamspread/core/admission/RankScheduler.java
+++ b/core/src/main/java/org/hornbeamspread/core/admission/RankScheduler.java
@@ -34,7 +34,7 @@
  * slots' time that the rank can get: at least its share, and otherwise what the others leave, where a worthier rank
  * leaves what it did not use of late, and a less worthy one takes no more than its share. The refusal advises a retry
  * once enough of the queue has drained. Since each rank has its own queue and estimate, a flood's refusals fall on its
- * own rank. Where the estimate was too hopeful, {@link #expired} takes the request out before it starts.
+ * own rank. Where the estimate was too hopeful, the request never starts, and {@link #expired} reports it.
  */
 public final class RankScheduler implements SlotScheduler {
     private static final double USAGE_WINDOW_NS = Duration.ofMillis(500).toNanos();
@@ -52,6 +52,10 @@
     private final Map<String, RankState> ranks = new LinkedHashMap<>();
 
     private final Map<Long, Running> running = new HashMap<>();
+
+    /** Taken out because they were late, and not reported yet. */
+    private final List<SlotRequest> late = new ArrayList<>();
+
     private Instant lastAdvance;
 
     /** A scheduler of a number of slots. Fails with INVALID_CONFIGURATION when the shares exceed the whole. */
@@ -94,6 +98,7 @@
             return Optional.empty();
         }
         advance(now);
+        takeOutLate(now);
         Optional<RankState> owed =
                 ranks.values().stream().filter(RankState::isOwed).findFirst();
         Optional<RankState> chosen = owed.isPresent()
@@ -120,9 +125,10 @@
 
     @Override
     public List<SlotRequest> expired(Instant now) {
-        List<SlotRequest> late = new ArrayList<>();
-        ranks.values().forEach(rank -> late.addAll(rank.queue().removeLate(now)));
-        return late;
+        takeOutLate(now);
+        List<SlotRequest> reported = List.copyOf(late);
+        late.clear();
+        return reported;
     }
 
     @Override
@@ -141,6 +147,10 @@
         return running.size();
     }
 
+    private void takeOutLate(Instant now) {
+        ranks.values().forEach(rank -> late.addAll(rank.queue().removeLate(now)));
+    }
+
     private Optional<SlotRequest> start(RankState rank, boolean charged, Instant now) {
         double chargedNs = charged ? rank.meanServiceNs() : 0;
         rank.charge(chargedNs);
--- a/core/src/test/java/org/hornbeamspread/core/admission/RankSchedulerTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/admission/RankSchedulerTest.java
@@ -80,8 +80,9 @@
         assertThat(scheduler.cancel(cancelled)).isFalse();
         assertThat(scheduler.expired(clock.instant())).isEmpty();
         clock.advance(Duration.ofMillis(11));
-        assertThat(scheduler.expired(clock.instant())).containsExactly(late);
         assertThat(scheduler.poll(clock.instant())).hasValue(kept);
+        assertThat(scheduler.expired(clock.instant())).containsExactly(late);
+        assertThat(scheduler.expired(clock.instant())).isEmpty();
         assertThat(scheduler.waitingRequests()).isEqualTo(0);
     }
 
--- a/emulator/src/main/java/org/hornbeamspread/emulator/ClientSession.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/ClientSession.java
@@ -58,10 +58,9 @@
         }
     }
 
-    /** Drops what waits, and the transaction. */
+    /** Drops the transaction. What waits is started in turn and finds the session closed. */
     void close() {
         closed = true;
-        waiting.clear();
         transaction = null;
     }
 
--- a/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseServer.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseServer.java
@@ -131,7 +131,7 @@
         switch (request.getBodyCase()) {
             case CONNECT -> statements.connect(session(connection), departing, answer);
             case BEGIN_TRANSACTION, EXECUTE_STATEMENTS, COMMIT_TRANSACTION, ROLLBACK_TRANSACTION ->
-                session(connection).submit(() -> handleInOrder(session(connection), request, answer));
+                enqueue(session(connection), request, answer);
             case LOOK_UP_KEY -> statements.lookUp(request.getLookUpKey(), answer);
             case SUBSCRIBE -> answer.accept(subscribe(connection, request.getSubscribe()));
             case FENCE -> answer.accept(fence(request.getFence()));
@@ -145,14 +145,22 @@
         }
     }
 
-    private void handleInOrder(ClientSession session, Envelope request, Consumer<Envelope> answer) {
+    private void enqueue(ClientSession session, Envelope request, Consumer<Envelope> answer) {
+        String key = idempotencyKey(request);
+        statements.arrived(key);
+        session.submit(() -> handleInOrder(session, request, answer, () -> {
+            statements.left(key);
+            session.done();
+        }));
+    }
+
+    private void handleInOrder(ClientSession session, Envelope request, Consumer<Envelope> answer, Runnable done) {
+        if (session.isClosed()) {
+            done.run();
+            return;
+        }
         if (request.hasExecuteStatements()) {
-            try {
-                statements.execute(session, request.getExecuteStatements(), answer, session::done);
-            } catch (FailureException e) {
-                answer.accept(Envelopes.failureEnvelope(e));
-                session.done();
-            }
+            statements.execute(session, request.getExecuteStatements(), answer, done);
             return;
         }
         answer.accept(StatementService.attempt(() -> switch (request.getBodyCase()) {
@@ -160,7 +168,13 @@
             case COMMIT_TRANSACTION -> statements.commit(session, request.getCommitTransaction());
             default -> statements.rollback(session);
         }));
-        session.done();
+        done.run();
+    }
+
+    private static String idempotencyKey(Envelope request) {
+        return request.hasExecuteStatements()
+                ? request.getExecuteStatements().getIdempotencyKey()
+                : request.getCommitTransaction().getIdempotencyKey();
     }
 
     private Envelope subscribe(PeerConnection connection, Subscribe request) {
@@ -189,13 +203,16 @@
     }
 
     private void follow(Follow request, Consumer<Envelope> answer) {
-        state.follow(request.getTerm());
+        boolean isNew = !follower.follows(request);
+        if (isNew) {
+            state.follow(request.getTerm());
+            roleChanged("replica of " + request.getPrimaryId());
+        }
         Consumer<Integer> once = new Once(setAside -> answer.accept(Envelope.newBuilder()
                 .setFollowing(Following.newBuilder().setReport(report()).setEntriesSetAside(setAside))
                 .build()));
         follower.follow(request, once);
         loop.after(FOLLOW_ANSWER_LIMIT, () -> once.accept(0));
-        roleChanged("replica of " + request.getPrimaryId());
     }
 
     private Envelope readmit(Readmit request) {
--- a/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseTransaction.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseTransaction.java
@@ -19,6 +19,9 @@
     private final List<Statement> writes = new ArrayList<>();
     private final List<StatementResult> results = new ArrayList<>();
 
+    /** The key that came with a statement; empty when none did. */
+    private String idempotencyKey = "";
+
     DatabaseTransaction(long term, boolean readOnly, Rows committed) {
         this.term = term;
         this.readOnly = readOnly;
@@ -40,6 +43,19 @@
         return newResults;
     }
 
+    /** Keeps the key that came with a statement, for the commit. Fails with INVALID_REQUEST when there is another. */
+    void useKey(String key) {
+        if (!idempotencyKey.isEmpty() && !idempotencyKey.equals(key)) {
+            throw new FailureException(FailureType.INVALID_REQUEST, "a second idempotency key in one transaction");
+        }
+        idempotencyKey = key;
+    }
+
+    /** The key that came with a statement; empty when none did. */
+    String idempotencyKey() {
+        return idempotencyKey;
+    }
+
     /** The term that the sender began it at. */
     long term() {
         return term;
--- a/emulator/src/main/java/org/hornbeamspread/emulator/LogFollower.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/LogFollower.java
@@ -54,9 +54,14 @@
         this.onChange = onChange;
     }
 
+    /** Whether it follows this primary at this term already. */
+    boolean follows(Follow request) {
+        return request.equals(target);
+    }
+
     /** Follows a primary. The callback gets the number of entries that were set aside, once the log is accepted. */
     void follow(Follow request, Consumer<Integer> whenAccepted) {
-        if (request.equals(target)) {
+        if (follows(request)) {
             if (accepted) {
                 whenAccepted.accept(setAsideEntries);
             } else {
--- a/emulator/src/main/java/org/hornbeamspread/emulator/StatementService.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/StatementService.java
@@ -101,33 +101,58 @@
                 .build();
     }
 
+    /** A request with this idempotency key has arrived; look-ups of the key wait until {@link #left}. */
+    void arrived(String idempotencyKey) {
+        keysInFlight.add(idempotencyKey);
+    }
+
+    /** A request that had arrived is answered or dropped. */
+    void left(String idempotencyKey) {
+        keysInFlight.remove(idempotencyKey);
+        if (!keysInFlight.contains(idempotencyKey)) {
+            waitingLookUps.removeAll(idempotencyKey).forEach(Runnable::run);
+        }
+    }
+
     /** Runs statements in a slot, and calls {@code done} after the answer. */
     void execute(ClientSession session, ExecuteStatements request, Consumer<Envelope> answer, Runnable done) {
-        session.checkConnected();
-        Optional<CommitOutcome> refusedOrReplayed = beforeSlot(session, request);
-        if (refusedOrReplayed.isPresent()) {
-            answer.accept(executed(refusedOrReplayed.get()));
+        Optional<DatabaseTransaction> open = session.transaction();
+        Optional<CommitOutcome> replayed;
+        Duration hold;
+        try {
+            session.checkConnected();
+            replayed = beforeSlot(open, request);
+            hold = hold(request.getStatementsList());
+        } catch (FailureException e) {
+            answer.accept(Envelopes.failureEnvelope(e));
+            done.run();
+            return;
+        }
+        if (replayed.isPresent()) {
+            answer.accept(executed(replayed.get()));
             done.run();
             return;
         }
-        long holdMs = holdMs(request.getStatementsList());
-        keysInFlight.add(request.getIdempotencyKey());
         slots.submit(() -> {
-            if (session.isClosed()) {
-                loop.submit(() -> finish(request, done));
-            } else {
-                loop.after(Duration.ofMillis(holdMs), () -> {
-                    answer.accept(attempt(() -> executed(take(session, request))));
-                    finish(request, done);
-                });
-            }
+            boolean dropped = session.isClosed();
+            loop.after(dropped ? Duration.ZERO : hold, () -> {
+                if (!dropped) {
+                    answer.accept(attempt(() -> executed(take(open, request))));
+                }
+                slots.release();
+                done.run();
+            });
         });
     }
 
     /** Commits the open transaction. */
     Envelope commit(ClientSession session, CommitTransaction request) {
         session.checkConnected();
-        CommitOutcome outcome = state.commit(session.end(), request.getIdempotencyKey());
+        DatabaseTransaction transaction = session.end();
+        if (!request.getIdempotencyKey().isEmpty()) {
+            transaction.useKey(request.getIdempotencyKey());
+        }
+        CommitOutcome outcome = state.commit(transaction, transaction.idempotencyKey());
         onCommit.run();
         TransactionEnded.Builder ended = TransactionEnded.newBuilder()
                 .setPosition(Envelopes.position(outcome.position()))
@@ -168,47 +193,40 @@
         }
     }
 
-    private Optional<CommitOutcome> beforeSlot(ClientSession session, ExecuteStatements request) {
-        if (request.getReadOnly() || session.transaction().isPresent()) {
+    private Optional<CommitOutcome> beforeSlot(Optional<DatabaseTransaction> open, ExecuteStatements request) {
+        if (request.getReadOnly() || open.isPresent()) {
             return Optional.empty();
         }
         state.checkWritable(request.getTerm());
         return state.committed(request.getIdempotencyKey());
     }
 
-    private CommitOutcome take(ClientSession session, ExecuteStatements request) {
-        Optional<DatabaseTransaction> open = session.transaction();
-        if (open.isPresent()) {
-            List<StatementResult> results = open.get().run(request.getStatementsList());
-            return new CommitOutcome(results, state.end(), false);
-        }
-        if (!request.getReadOnly()) {
-            state.checkWritable(request.getTerm());
+    /** Runs a request at the end of its time in the slot, in the transaction that was open when it came. */
+    private CommitOutcome take(Optional<DatabaseTransaction> open, ExecuteStatements request) {
+        DatabaseTransaction transaction =
+                open.orElseGet(() -> new DatabaseTransaction(request.getTerm(), request.getReadOnly(), state.rows()));
+        if (!transaction.readOnly()) {
+            state.checkWritable(transaction.term());
             Optional<CommitOutcome> earlier = state.committed(request.getIdempotencyKey());
             if (earlier.isPresent()) {
                 return earlier.get();
             }
         }
-        DatabaseTransaction own = new DatabaseTransaction(request.getTerm(), request.getReadOnly(), state.rows());
-        own.run(request.getStatementsList());
-        CommitOutcome outcome = state.commit(own, request.getIdempotencyKey());
+        if (!request.getIdempotencyKey().isEmpty()) {
+            transaction.useKey(request.getIdempotencyKey());
+        }
+        List<StatementResult> results = transaction.run(request.getStatementsList());
+        if (open.isPresent()) {
+            return new CommitOutcome(results, state.end(), false);
+        }
+        CommitOutcome outcome = state.commit(transaction, request.getIdempotencyKey());
         onCommit.run();
         return outcome;
     }
 
-    private void finish(ExecuteStatements request, Runnable done) {
-        String key = request.getIdempotencyKey();
-        keysInFlight.remove(key);
-        if (!keysInFlight.contains(key)) {
-            waitingLookUps.removeAll(key).forEach(Runnable::run);
-        }
-        slots.release();
-        done.run();
-    }
-
-    private long holdMs(List<Statement> statements) {
+    private Duration hold(List<Statement> statements) {
         long sleepMs = statements.stream().mapToLong(StatementRunner::sleepMs).sum();
-        return settings.statementMs() * Math.max(1, statements.size()) + sleepMs;
+        return Duration.ofMillis(settings.statementMs() * Math.max(1, statements.size()) + sleepMs);
     }
 
     private Envelope executed(CommitOutcome outcome) {
--- a/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseServerTest.java
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseServerTest.java
@@ -114,7 +114,9 @@
         PeerConnection other = first.open();
         other.request(TestDatabase.connect().build(), TestDatabase.TIMEOUT).join();
         CompletableFuture<Envelope> holder = first.send(read(statement("sleep", "20")));
-        Envelope booking = write(1, "key", statement("row.add", "t", "k", "1")).build();
+        Envelope booking = write(
+                        1, "key", statement("row.insert", "t", "row", "v"), statement("row.add", "t", "k", "1"))
+                .build();
         CompletableFuture<Envelope> one = first.send(booking.toBuilder());
         CompletableFuture<Envelope> two = other.request(booking, TestDatabase.TIMEOUT);
         CompletableFuture<Envelope> lookUp = first.send(Envelope.newBuilder()
@@ -124,7 +126,7 @@
                         one.join().getStatementsExecuted().getReplayed(),
                         two.join().getStatementsExecuted().getReplayed()))
                 .containsExactly(true, false);
-        lookUp.join();
+        assertThat(lookUp.join().getKeyLookedUp().getFound()).isTrue();
         assertThat(first.value("t", "k")).isEqualTo("1");
     }
 
@@ -148,6 +150,45 @@
                 .isEqualTo("1");
     }
 
+    @Test
+    void aStatementOfALostTransactionCommitsNothing() {
+        first.primaryAt(1);
+        PeerConnection lost = first.open();
+        lost.request(TestDatabase.connect().build(), TestDatabase.TIMEOUT).join();
+        Envelope begin = Envelope.newBuilder()
+                .setBeginTransaction(BeginTransaction.newBuilder().setTerm(1))
+                .build();
+        lost.request(begin, TestDatabase.TIMEOUT).join();
+        CompletableFuture<Envelope> running = lost.request(
+                write(1, "", statement("row.put", "t", "k", "v"), statement("sleep", "20"))
+                        .build(),
+                TestDatabase.TIMEOUT);
+        CompletableFuture<Envelope> behind = first.send(read(statement("row.get", "t", "k")));
+        lost.close();
+        assertThat(behind.join().getStatementsExecuted().getResults(0).getRowsCount())
+                .isEqualTo(0);
+        assertThat(running.isCompletedExceptionally()).isTrue();
+        assertThat(first.ask(write(1, "", statement("row.put", "t", "next", "v")))
+                        .getStatementsExecuted()
+                        .getPosition()
+                        .getIndex())
+                .isEqualTo(2);
+    }
+
+    @Test
+    void aKeyThatCameWithAStatementCommitsWithItsTransaction() {
+        first.primaryAt(1);
+        first.ask(Envelope.newBuilder()
+                .setBeginTransaction(BeginTransaction.newBuilder().setTerm(1)));
+        first.ask(write(1, "key", statement("row.add", "t", "k", "1")));
+        first.ask(Envelope.newBuilder().setCommitTransaction(CommitTransaction.getDefaultInstance()));
+        assertThat(first.ask(write(1, "key", statement("row.add", "t", "k", "1")))
+                        .getStatementsExecuted()
+                        .getReplayed())
+                .isTrue();
+        assertThat(first.value("t", "k")).isEqualTo("1");
+    }
+
     @Test
     void aBadStatementChangesNothing() {
         first.primaryAt(1);
--- a/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseStateTest.java
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseStateTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -69,6 +70,19 @@
         assertThat(open().rows().withPrefix("t", "").keySet()).containsExactly("kept", "next");
     }
 
+    @Test
+    void aDamagedEntryAndWhatFollowsItAreCutOff() throws IOException {
+        DatabaseState before = primary();
+        put(before, 1, "kept", "v");
+        long keptBytes = Files.size(folder.resolve("log"));
+        put(before, 1, "damaged", "v");
+        put(before, 1, "behind", "v");
+        try (FileChannel file = FileChannel.open(folder.resolve("log"), StandardOpenOption.WRITE)) {
+            file.write(ByteBuffer.wrap(new byte[] {-1}), keptBytes + 12);
+        }
+        assertThat(open().rows().withPrefix("t", "").keySet()).containsExactly("kept");
+    }
+
     @Test
     void aLostDiskIsNotPromotedUntilItIsReadmitted() {
         DatabaseState primary = primary();
@@ -113,7 +127,9 @@
         DatabaseTransaction three = transaction(state, statement("row.insert", "t", "k", "3"));
         DatabaseTransaction four = transaction(state, statement("row.insert", "t", "k", "4"));
         state.commit(three, "");
+        LogPosition before = state.end();
         assertThat(failure(() -> state.commit(four, ""))).isEqualTo(FailureType.STATEMENT_CONFLICT);
+        assertThat(state.end()).isEqualTo(before);
         assertThat(state.rows().get("t", "k")).hasValue("3");
     }
 
