--- a/proxy/src/main/java/org/hornbeamspread/proxy/DatabaseLink.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/DatabaseLink.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.DatabaseEntry;
@@ -31,6 +32,7 @@
     private final PeerTransport transport;
     private final String databaseId;
     private final Consumer<PositionReport> onReport;
+    private final IntConsumer onBytes;
 
     private Endpoint endpoint;
 
@@ -48,12 +50,17 @@
     private boolean questionInFlight;
 
     DatabaseLink(
-            Dispatcher dispatcher, PeerTransport transport, DatabaseEntry entry, Consumer<PositionReport> onReport) {
+            Dispatcher dispatcher,
+            PeerTransport transport,
+            DatabaseEntry entry,
+            Consumer<PositionReport> onReport,
+            IntConsumer onBytes) {
         this.dispatcher = dispatcher;
         this.transport = transport;
         this.databaseId = entry.getDatabaseId();
         this.endpoint = entry.getEndpoint();
         this.onReport = onReport;
+        this.onBytes = onBytes;
         this.lastReportAt = dispatcher.clock().instant();
     }
 
@@ -117,6 +124,7 @@
             return;
         }
         questionInFlight = true;
+        onBytes.accept(subscribe().getSerializedSize());
         connection
                 .request(subscribe(), ANSWER_TIMEOUT)
                 .whenCompleteAsync(
@@ -178,6 +186,7 @@
         }
         lastReportAt = dispatcher.clock().instant();
         lastReport = Optional.of(report);
+        onBytes.accept(report.getSerializedSize());
         onReport.accept(report);
     }
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/Databases.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/Databases.java
@@ -30,11 +30,20 @@
     private final Dispatcher dispatcher;
     private final PeerTransport transport;
     private final ViewPublisher publisher;
+    private final ProxyMetrics metrics;
+    private final String region;
     private final Map<String, DatabaseLink> links = new HashMap<>();
     private final Map<String, GroupState> groups = new HashMap<>();
     private Consumer<PositionReport> listener = report -> {};
 
-    Databases(Dispatcher dispatcher, PeerTransport transport, ViewPublisher publisher) {
+    Databases(
+            Dispatcher dispatcher,
+            PeerTransport transport,
+            ViewPublisher publisher,
+            ProxyMetrics metrics,
+            String region) {
+        this.metrics = metrics;
+        this.region = region;
         this.dispatcher = dispatcher;
         this.transport = transport;
         this.publisher = publisher;
@@ -56,9 +65,7 @@
             GroupState state = group(group.getGroup());
             state.view(group, view.groupDatabases(group));
             for (DatabaseEntry entry : group.getDatabasesList()) {
-                links.computeIfAbsent(
-                                entry.getDatabaseId(),
-                                id -> new DatabaseLink(dispatcher, transport, entry, report -> reported(state, report)))
+                links.computeIfAbsent(entry.getDatabaseId(), id -> link(state, entry))
                         .update(entry);
             }
         }
@@ -120,6 +127,16 @@
         return link.askPosition().thenApply(report -> sampled(groupName, term, askedAt, report));
     }
 
+    private DatabaseLink link(GroupState state, DatabaseEntry entry) {
+        boolean otherRegion = !entry.getRegion().equals(region);
+        return new DatabaseLink(
+                dispatcher,
+                transport,
+                entry,
+                report -> reported(state, report),
+                bytes -> metrics.reported(otherRegion, bytes));
+    }
+
     private void reported(GroupState state, PositionReport report) {
         state.report(report, dispatcher.clock().instant());
         listener.accept(report);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/InFlight.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/InFlight.java
@@ -31,11 +31,7 @@
         attempts.add(attempt);
         answer.whenComplete((value, error) -> {
             attempts.remove(attempt);
-            if (error != null) {
-                result.completeExceptionally(FailureException.of(error));
-            } else {
-                result.complete(value);
-            }
+            Futures.complete(result, value, error);
         });
         return result;
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMetrics.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMetrics.java
@@ -15,7 +15,7 @@
     private final Counter retries;
     private final Counter statements;
     private final Counter reads;
-    private final Counter relayBytes;
+    private final Counter peerBytes;
     private final Gauge requests;
     private final Gauge queue;
     private final Gauge connections;
@@ -32,8 +32,12 @@
                 "rank",
                 "effect");
         reads = counter(registry, "hornbeamspread_reads_total", "Reads served, by source", "source");
-        relayBytes =
-                counter(registry, "hornbeamspread_relay_bytes_total", "Bytes relayed between proxies", "other_region");
+        peerBytes = counter(
+                registry,
+                "hornbeamspread_peer_bytes_total",
+                "Bytes of messages sent and received, by purpose",
+                "purpose",
+                "other_region");
         requests = Gauge.builder()
                 .name("hornbeamspread_requests_in_progress")
                 .help("Requests in progress")
@@ -78,8 +82,14 @@
         reads.labelValues(fromReplica ? "replica" : "primary").inc();
     }
 
+    /** Bytes of a relayed statement or its answer. */
     void relayed(boolean otherRegion, int bytes) {
-        relayBytes.labelValues(Boolean.toString(otherRegion)).inc(bytes);
+        peerBytes.labelValues("statements", Boolean.toString(otherRegion)).inc(bytes);
+    }
+
+    /** Bytes of a position report or of a question for one. */
+    void reported(boolean otherRegion, int bytes) {
+        peerBytes.labelValues("reports", Boolean.toString(otherRegion)).inc(bytes);
     }
 
     void inProgress(int count) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
@@ -66,7 +66,7 @@
         this.transport = new PeerTransport(settings.networkThreads(), settings.translator());
         this.publisher = new ViewPublisher(clock);
         this.metrics = new ProxyMetrics(registry);
-        this.databases = new Databases(requests, transport, publisher);
+        this.databases = new Databases(requests, transport, publisher, metrics, settings.region());
         this.held = new HeldDatabases(
                 requests,
                 transport,
--- a/proxy/src/main/java/org/hornbeamspread/proxy/RetryLoop.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/RetryLoop.java
@@ -8,6 +8,7 @@
 import org.hornbeamspread.core.admission.RetryBudget;
 import org.hornbeamspread.core.misc.Effect;
 import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.retry.RetryPolicy;
 
 /**
@@ -18,6 +19,9 @@
 final class RetryLoop {
     private static final RetryPolicy POLICY = new RetryPolicy(Duration.ofMillis(5), Duration.ofMillis(50));
 
+    /** How long after the deadline an attempt may still tell its own outcome. */
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(20);
+
     private final Dispatcher dispatcher;
     private final ProxyMetrics metrics;
     private final RetryBudget budget = new RetryBudget();
@@ -31,6 +35,11 @@
     <T> CompletableFuture<T> run(StatementRequest request, Supplier<CompletableFuture<T>> attempt) {
         budget.recordRequest(request.order().callerId(), request.order().rank());
         Run<T> run = new Run<>(request, attempt);
+        Dispatcher.Timer timer = dispatcher.schedule(
+                Duration.between(dispatcher.clock().instant(), request.order().deadline())
+                        .plus(ANSWER_MARGIN),
+                run::expire);
+        run.result.whenComplete((value, error) -> timer.cancel());
         run.next();
         return run.result;
     }
@@ -49,7 +58,7 @@
 
         void next() {
             attempts++;
-            attempt.get().whenComplete((value, error) -> {
+            Futures.start(attempt).whenComplete((value, error) -> {
                 if (error == null) {
                     result.complete(value);
                 } else {
@@ -58,7 +67,15 @@
             });
         }
 
+        /** Ends a request whose attempt has not ended by its deadline. */
+        void expire() {
+            fail(new FailureException(FailureType.TIMEOUT_AFTER_SEND, "attempt " + attempts));
+        }
+
         private void failed(FailureException failure) {
+            if (result.isDone()) {
+                return;
+            }
             if (unknown.isEmpty() && failure.type().effect() != Effect.NOT_RUN) {
                 unknown = Optional.of(failure);
             }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/SlotQueue.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/SlotQueue.java
@@ -84,7 +84,7 @@
     private <T> void start(Work<T> work) {
         CompletableFuture<T> running;
         if (dispatcher.clock().instant().isBefore(work.request.startBy())) {
-            running = work.body.get();
+            running = Futures.start(work.body);
         } else {
             running = CompletableFuture.failedFuture(
                     new FailureException(FailureType.DEADLINE_BEFORE_START, work.request.rank()));
@@ -92,11 +92,7 @@
         running.whenCompleteAsync(
                 (value, error) -> {
                     scheduler.complete(work.request, dispatcher.clock().instant());
-                    if (error != null) {
-                        work.result.completeExceptionally(FailureException.of(error));
-                    } else {
-                        work.result.complete(value);
-                    }
+                    Futures.complete(work.result, value, error);
                     startWork();
                 },
                 dispatcher);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/StatementsService.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/StatementsService.java
@@ -148,28 +148,13 @@
             result.completeExceptionally(new FailureException(FailureType.DRAINING, settings.proxyId()));
         } else if (inProgress.get() > settings.maxRequests()) {
             result.completeExceptionally(new FailureException(FailureType.RING_FULL, "too many requests"));
-        } else if (!dispatcher.tryExecute(() -> start(work, result))) {
+        } else if (!dispatcher.tryExecute(
+                () -> Futures.start(work).whenComplete((answer, error) -> Futures.complete(result, answer, error)))) {
             result.completeExceptionally(new FailureException(FailureType.RING_FULL, "requests"));
         }
         return result.whenComplete((answer, error) -> metrics.inProgress(inProgress.decrementAndGet()));
     }
 
-    private static <T> void start(Supplier<CompletableFuture<T>> work, CompletableFuture<T> result) {
-        CompletableFuture<T> running;
-        try {
-            running = work.get();
-        } catch (RuntimeException e) {
-            running = CompletableFuture.failedFuture(e);
-        }
-        running.whenComplete((answer, error) -> {
-            if (error != null) {
-                result.completeExceptionally(FailureException.of(error));
-            } else {
-                result.complete(answer);
-            }
-        });
-    }
-
     private ExecuteResponse failure(String token, String rank, FailureException failure) {
         metrics.refused(failure.type(), rank);
         return ExecuteResponse.newBuilder()
--- a/proxy/src/main/java/org/hornbeamspread/proxy/TimerQueue.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/TimerQueue.java
@@ -20,7 +20,7 @@
     Dispatcher.Timer schedule(Duration pause, Runnable work) {
         Entry entry = new Entry(clock.instant().plus(pause), nextSequence++, work);
         entries.add(entry);
-        return () -> entries.remove(entry);
+        return entry::cancel;
     }
 
     /** Runs every timer that is due. */
@@ -34,12 +34,18 @@
     private static final class Entry {
         private final Instant at;
         private final long sequence;
-        private final Runnable work;
+
+        /** Replaced when the timer is called off; the entry leaves the queue when it is due. */
+        private Runnable work;
 
         Entry(Instant at, long sequence, Runnable work) {
             this.at = at;
             this.sequence = sequence;
             this.work = work;
         }
+
+        void cancel() {
+            work = () -> {};
+        }
     }
 }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/WritePathTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/WritePathTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -34,7 +35,8 @@
     private final ManualDispatcher dispatcher = new ManualDispatcher();
     private final ViewPublisher publisher = new ViewPublisher(dispatcher.clock());
     private final PeerTransport transport = new PeerTransport(1);
-    private final Databases databases = new Databases(dispatcher, transport, publisher);
+    private final Databases databases =
+            new Databases(dispatcher, transport, publisher, new ProxyMetrics(new PrometheusRegistry()), "addis");
     private final InFlight inFlight = new InFlight();
     private final List<ExecuteStatements> sent = new ArrayList<>();
     private final List<CompletableFuture<StatementsExecuted>> answers = new ArrayList<>();
