--- a/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseServerTest.java
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/DatabaseServerTest.java
@@ -7,6 +7,7 @@
 import static org.hornbeamspread.emulator.TestDatabase.write;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -47,6 +48,20 @@
         assertThat(second.value("t", "k")).isEqualTo("v");
     }
 
+    @Test
+    void theReplicationLagPassesBeforeAnEntryCounts() {
+        Duration lag = Duration.ofMillis(60);
+        try (TestDatabase slow = new TestDatabase("slow", lag.toMillis(), List.of())) {
+            first.primaryAt(1);
+            slow.ask(first.followAt(1));
+            long startNs = System.nanoTime();
+            StatementsExecuted written =
+                    first.ask(write(1, "", statement("row.put", "t", "k", "v"))).getStatementsExecuted();
+            slow.awaitReport(report -> report.getSynced().equals(written.getPosition()));
+            assertThat(Duration.ofNanos(System.nanoTime() - startNs)).isAtLeast(lag);
+        }
+    }
+
     @Test
     void aFenceStopsWritesOfTheLowerTerm() {
         first.primaryAt(1);
@@ -167,7 +182,7 @@
         lost.close();
         assertThat(behind.join().getStatementsExecuted().getResults(0).getRowsCount())
                 .isEqualTo(0);
-        assertThat(running.isCompletedExceptionally()).isTrue();
+        assertThrows(CompletionException.class, running::join);
         assertThat(first.ask(write(1, "", statement("row.put", "t", "next", "v")))
                         .getStatementsExecuted()
                         .getPosition()
--- a/emulator/src/test/java/org/hornbeamspread/emulator/TestDatabase.java
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/TestDatabase.java
@@ -36,7 +36,7 @@
     private final PeerConnection client;
     private final String databaseId;
 
-    TestDatabase(String databaseId, long statementMs, List<Endpoint> announceTo) {
+    TestDatabase(String databaseId, long replicationLagMs, List<Endpoint> announceTo) {
         this.databaseId = databaseId;
         DatabaseSettings settings = new DatabaseSettings(
                 databaseId,
@@ -48,8 +48,8 @@
                 1,
                 2,
                 0,
-                statementMs,
-                0);
+                0,
+                replicationLagMs);
         DatabaseState state =
                 new DatabaseState(DatabaseDisk.none(), DatabaseMetadata.fresh(1, true), List.of(), RowFault.none());
         this.server = new DatabaseServer(settings, state, new PeerTransport(1));
