Refusals carry no stack trace

Ruled out: pooling of failures (their detail and retry time differ). Change: no trace and no suppression list; an INTERNAL failure keeps its cause with its own trace.

--- a/core/src/main/java/org/hornbeamspread/core/misc/FailureException.java
+++ b/core/src/main/java/org/hornbeamspread/core/misc/FailureException.java
@@ -4,7 +4,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 
-/** A typed failure. Futures of this project complete exceptionally with it. */
+/**
+ * A typed failure. Futures of this project complete exceptionally with it. It carries no stack trace: it is an outcome,
+ * not a defect, and in a flood most requests end in one. An INTERNAL failure keeps its cause, which has one.
+ */
 public final class FailureException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
@@ -21,12 +24,19 @@
 
     /** A failure that advises a retry after a pause; zero for none. */
     public FailureException(FailureType type, String detail, Duration retryAfter) {
-        super(type.message(detail));
+        super(type.message(detail), null, false, false);
         this.type = type;
         this.detail = detail;
         this.retryAfterMs = retryAfter.toMillis();
     }
 
+    private FailureException(Throwable cause) {
+        super(FailureType.INTERNAL.message(String.valueOf(cause)), cause, false, false);
+        this.type = FailureType.INTERNAL;
+        this.detail = String.valueOf(cause);
+        this.retryAfterMs = 0;
+    }
+
     /** The entry of the failure table. */
     public FailureType type() {
         return type;
@@ -51,8 +61,6 @@
         if (cause instanceof FailureException) {
             return (FailureException) cause;
         }
-        FailureException failure = new FailureException(FailureType.INTERNAL, String.valueOf(cause));
-        failure.initCause(cause);
-        return failure;
+        return new FailureException(cause);
     }
 }
