A restarted member votes only after an election timeout; proposals get their time

Cause: a member that had answered a leader and restarted could vote another in at once, so a confirmed read told nothing about the time until the next leader. A command without a time entered the replay table at time 0 and was dropped by the next one with a time; a new test (resend to the next leader) failed by that, with times given in its commands. Change: the time since a leader was heard counts from the restart; the log fills in proposed_at_ms.

--- a/control/src/main/java/org/hornbeamspread/control/ReplicatedLog.java
+++ b/control/src/main/java/org/hornbeamspread/control/ReplicatedLog.java
@@ -6,7 +6,7 @@
 /** The control members' replicated log, as the rest of the daemon sees it. Safe for any thread. */
 public interface ReplicatedLog {
     /**
-     * Appends a command. Completes with the state machine's result once the record is committed and applied here.
+     * Appends a command, with the present time as its proposed_at_ms if it has none. Completes with the state machine's result once the record is committed and applied here.
      * Fails with NOT_LEADER before anything was appended, LEADERSHIP_LOST when the outcome is not known.
      */
     CompletableFuture<CommandResult> propose(ControlCommand command);
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -131,7 +131,7 @@
         } else if (task instanceof ConsensusTask.Request request) {
             node.step(new ConsensusEvent.Received(request.message(), hold(request.answer())));
         } else if (task instanceof ConsensusTask.Propose propose) {
-            ControlCommand command = withIncarnations(propose.command());
+            ControlCommand command = withIncarnations(withTime(propose.command()));
             long id = pending.add(propose.outcome());
             node.step(new ConsensusEvent.Proposal(id, RecordCodec.payload(command), RecordCodec.membership(command)));
         } else if (task instanceof ConsensusTask.Confirm confirm) {
@@ -321,6 +321,12 @@
         node.step(new ConsensusEvent.Proposal(0, RecordCodec.payload(command), Optional.of(membership)));
     }
 
+    private ControlCommand withTime(ControlCommand command) {
+        return command.getProposedAtMs() > 0
+                ? command
+                : command.toBuilder().setProposedAtMs(clock.millis()).build();
+    }
+
     /** Fills in what operators don't know: incarnations, and that a new member does not vote at first. */
     private ControlCommand withIncarnations(ControlCommand command) {
         if (!command.hasChangeMembers()) {
--- a/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
@@ -77,6 +78,28 @@
         }
     }
 
+    @Test
+    void aResendToTheNextLeaderGetsTheFirstOutcome() {
+        try (LogCluster cluster = new LogCluster(directory, 3, 50)) {
+            cluster.startAll();
+            String leader = cluster.awaitLeader();
+            ControlCommand change =
+                    departure("d1").toBuilder().setRequestId("operator-1").build();
+            assertThat(LogCluster.await(cluster.log(leader).propose(change)).replayed())
+                    .isFalse();
+            cluster.stop(leader);
+            String next = cluster.awaitLeader();
+            assertThat(LogCluster.await(cluster.log(next).propose(change)).replayed())
+                    .isTrue();
+            ControlCommand other =
+                    departure("d2").toBuilder().setRequestId("operator-1").build();
+            assertThat(LogCluster.await(cluster.log(next).propose(other))
+                            .failure()
+                            .map(FailureException::type))
+                    .isEqualTo(Optional.of(FailureType.REQUEST_ID_REUSED));
+        }
+    }
+
     @Test
     void aReplacementTakesOverForAMemberThatIsGone() {
         try (LogCluster cluster = new LogCluster(directory, 3, 50)) {
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -32,7 +32,8 @@
     /** Present while this member leads. */
     private Optional<LeaderRole> leading = Optional.empty();
 
-    private long leaderHeardMs = Long.MIN_VALUE / 2;
+    /** When a leader was heard last. A restarted member may just have heard one: it counts from its start. */
+    private long leaderHeardMs;
 
     /** Present while the disk takes nothing. */
     private Optional<FailureType> stalled = Optional.empty();
@@ -61,6 +62,7 @@
         this.state = new NodeState(memberId, stored, times, rules, clock);
         this.formation = new Formation(state, initialMemberIds, stored.formed());
         this.election = new Election(state, random);
+        this.leaderHeardMs = stored.term() > 0 ? state.nowMs() : Long.MIN_VALUE / 2;
         this.published = new ConsensusEffect.LeadershipChanged(stored.term(), Optional.empty(), false);
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
@@ -155,6 +155,28 @@
         assertThat(harness.leader().orElseThrow().node.membership().find(gone)).isEqualTo(Optional.empty());
     }
 
+    /** It may have answered a leader just before it stopped, and that leader counts on no other for a while. */
+    @Test
+    void aRestartedMemberVotesOnlyAfterAnElectionTimeout() {
+        LogHarness harness = harness(3, ConsensusRule.PRE_VOTE, true);
+        LogHarness.Host voter =
+                harness.host(others(harness, harness.leader().orElseThrow().id).get(0));
+        voter.crash();
+        voter.start();
+        assertThat(grantsVote(voter)).isFalse();
+        harness.clock.advance(Duration.ofMillis(LogHarness.TIMES.electionTimeoutMs()));
+        assertThat(grantsVote(voter)).isTrue();
+    }
+
+    private static boolean grantsVote(LogHarness.Host voter) {
+        long term = voter.node.term() + 1;
+        voter.node.step(new ConsensusEvent.Received(new Message.VoteRequest(term, "c9", 1_000, term, true), 1));
+        return voter.node.drain().stream()
+                .anyMatch(effect -> effect instanceof ConsensusEffect.Reply reply
+                        && reply.message() instanceof Message.VoteResponse response
+                        && response.granted());
+    }
+
     private static LogHarness harness(int members, ConsensusRule rule, boolean inForce) {
         Set<ConsensusRule> rules =
                 inForce ? EnumSet.allOf(ConsensusRule.class) : EnumSet.complementOf(EnumSet.of(rule));
