--- a/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
@@ -70,6 +70,9 @@
     /** Whether some database waits for a holder or for the release by its old one. */
     private boolean holdersUnsettled = true;
 
+    /** Whether proxies came, went or changed since the last step; many that come together cost one assignment. */
+    private boolean proxiesChanged;
+
     private Instant quietStepAt = Instant.EPOCH;
 
     LeaderSession(
@@ -171,19 +174,13 @@
         Optional<LiveProxy> known = view.leases().find(proxy.proxyId());
         ViewLease answer = view.grant(proxy, request, arrivedAt);
         metrics.leaseGranted(answer.getFull());
-        if (known.filter(proxy::describesSame).isEmpty()) {
-            proxiesChanged();
-            publish();
-        }
+        proxiesChanged |= known.filter(proxy::describesSame).isEmpty();
         return answer;
     }
 
     /** One step of everything: returns what is to be done, by group. */
     Map<String, List<FailoverEffect>> step() {
-        List<String> expired = view.leases().expire();
-        if (!expired.isEmpty()) {
-            proxiesChanged();
-        }
+        proxiesChanged |= !view.leases().expire().isEmpty();
         Instant now = clock.instant();
         boolean quietStep = !now.isBefore(quietStepAt.plus(QUIET_STEP_INTERVAL));
         if (quietStep) {
@@ -206,6 +203,7 @@
 
     /** Publishes whatever changed. */
     void publish() {
+        updateProxies();
         assignHolders();
         for (GroupState group : groups.values()) {
             if (group.takeChanged()) {
@@ -251,10 +249,13 @@
         }
     }
 
-    private void proxiesChanged() {
+    private void updateProxies() {
+        if (!proxiesChanged) {
+            return;
+        }
+        proxiesChanged = false;
         candidates = new HolderCandidates(view.leases().living());
         view.publishProxies();
-        groups.values().forEach(GroupState::markChanged);
         holdersUnsettled = true;
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/FailureDetector.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FailureDetector.java
@@ -98,6 +98,9 @@
     public boolean isSuspected(String databaseId, int recentPromotions) {
         long neededMs = timings.silenceMs() << Math.min(recentPromotions, MAX_DOUBLINGS);
         long silentMs = silence(databaseId).toMillis();
+        if (silentMs <= neededMs / REFUSED_DIVISOR) {
+            return false;
+        }
         Signs signs = signs(databaseId);
         Instant oldest = clock.instant().minusMillis(timings.observationMs());
         signs.observations.values().removeIf(observation -> observation.at.isBefore(oldest));
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupFailover.java
@@ -54,6 +54,12 @@
     /** Whether the promotion under way replaces a lost primary. */
     private boolean replacing;
 
+    /** The primary that was taken for lost when the promotion started; the promotion does not wait for it. */
+    private Optional<String> lostId = Optional.empty();
+
+    /** When this leader first saw the term with a chosen database; null before. */
+    private Instant chosenSince;
+
     /** The term that the fields below are about. */
     private long seenTerm = -1;
 
@@ -147,6 +153,7 @@
         if (record.term() != seenTerm) {
             seenTerm = record.term();
             termSince = clock.instant();
+            chosenSince = null;
             promoteRefused = false;
             toldPromoted = record.writable();
             toldOpened = record.writable();
@@ -162,6 +169,7 @@
                 promotions.addLast(clock.instant());
                 replacing = false;
             }
+            lostId = Optional.empty();
             listener.opened(record.group(), record.term(), sinceStartMs());
         }
     }
@@ -174,7 +182,10 @@
                 .primaryId()
                 .map(id -> input.suspected().getOrDefault(id, 0L))
                 .orElse(0L);
-        replacing |= reason != PromotionReason.FIRST && reason != PromotionReason.HANDOVER;
+        replacing |= reason.replacesLost();
+        if (reason == PromotionReason.LOST) {
+            lostId = input.record().primaryId();
+        }
         proposedAt = clock.instant();
         listener.started(input.record().group(), next, reason, silenceMs);
         return List.of(
@@ -190,7 +201,7 @@
                 .filter(status -> status.term() == term && isTrusted(input, status))
                 .toList();
         boolean enough = fenced.size() >= rules.fenceQuorum(input.declaredDatabases());
-        if (enough && (fenced.size() >= alive(input) || sinceStartMs() >= timings.retryMs())) {
+        if (enough && (fenced.size() >= expected(input) || sinceStartMs() >= timings.retryMs())) {
             Optional<DatabaseStatus> chosen = choose(input, fenced);
             if (chosen.isPresent()) {
                 proposedAt = clock.instant();
@@ -202,6 +213,15 @@
         return fenceAll(input);
     }
 
+    /** How many members can be expected to answer a fence soon. */
+    private long expected(GroupInput input) {
+        return input.members().stream()
+                .filter(status -> isTrusted(input, status) && !isLost(input, status))
+                .filter(status -> lostId.filter(status.databaseId()::equals).isEmpty()
+                        || status.term() == input.record().term())
+                .count();
+    }
+
     private List<FailoverEffect> fenceAll(GroupInput input) {
         long term = input.record().term();
         List<FailoverEffect> effects = new ArrayList<>();
@@ -266,7 +286,10 @@
     private List<FailoverEffect> promoteChosen(GroupInput input, Optional<DatabaseStatus> chosen) {
         long term = input.record().term();
         boolean lost = chosen.isEmpty() || isLost(input, chosen.get()) || !isTrusted(input, chosen.get());
-        boolean late = sinceStartMs() > timings.promoteTimeoutMs();
+        if (chosenSince == null) {
+            chosenSince = clock.instant();
+        }
+        boolean late = millisSince(chosenSince) > timings.promoteTimeoutMs();
         boolean replaced =
                 primaryIncarnation != 0 && chosen.isPresent() && chosen.get().incarnation() != primaryIncarnation;
         if ((lost || late || replaced || promoteRefused) && canFinish(input)) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/PromotionReason.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/PromotionReason.java
@@ -15,5 +15,10 @@
     /** The chosen database did not become primary in time. */
     NOT_PROMOTED,
     /** The primary departs, or an operator asked for another one. */
-    HANDOVER
+    HANDOVER;
+
+    /** Whether a primary was lost, rather than replaced on purpose or never there. */
+    boolean replacesLost() {
+        return this == LOST || this == DISK_LOST || this == RESTARTED;
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/hornbeamspread/core/failover/FailureDetectorTest.java
@@ -0,0 +1,54 @@
+package org.hornbeamspread.core.failover;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class FailureDetectorTest {
+    private static final String DATABASE = "d1";
+    private static final Duration STEP = Duration.ofMillis(50);
+
+    private final PausedClock clock = new PausedClock();
+    private final FailureDetector detector = new FailureDetector(clock, FailoverTimings.DEFAULT);
+
+    /**
+     * @param gone how many of the observers say that the database is gone
+     * @param observers how many proxies reported on it just now
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "550, false, 3, 3, 0, false",
+        "650, false, 3, 3, 0, true",
+        "650, false, 2, 3, 0, true",
+        "650, false, 1, 3, 0, false",
+        "650, false, 1, 2, 0, false",
+        "5000, false, 0, 3, 0, false",
+        "650, false, 0, 0, 0, false",
+        "1250, false, 0, 0, 0, true",
+        "250, true, 0, 0, 0, false",
+        "350, true, 0, 0, 0, true",
+        "350, true, 0, 2, 0, false",
+        "1150, false, 3, 3, 1, false",
+        "1250, false, 3, 3, 1, true",
+        "2350, false, 3, 3, 2, false",
+        "2450, false, 3, 3, 9, true"
+    })
+    void severalSignsDecide(
+            long silentMs, boolean refused, int gone, int observers, int recentPromotions, boolean suspected) {
+        detector.heard(DATABASE);
+        for (long passedMs = 0; passedMs < silentMs; passedMs += STEP.toMillis()) {
+            clock.advance(STEP);
+            detector.step();
+        }
+        for (int i = 0; i < observers; i++) {
+            detector.observed("p" + i, DATABASE, i >= gone, 5);
+        }
+        if (refused) {
+            detector.refused(DATABASE);
+        }
+        assertThat(detector.isSuspected(DATABASE, recentPromotions)).isEqualTo(suspected);
+    }
+}
