Failures carry their cause from construction

Cause: without a writable cause, Throwable.initCause fails with IllegalStateException: DiskLogTest and ConsensusServiceTest were red after the stack traces went (three cases, full disk). Change: a constructor with the cause, used at the ten places that called initCause.

--- a/control/src/main/java/org/hornbeamspread/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/settings/ControlSettings.java
@@ -105,9 +105,7 @@
                 }
             }
         } catch (IOException e) {
-            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "--address-map " + file);
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.INVALID_SETTING, "--address-map " + file, e);
         }
         return AddressTranslator.table(table);
     }
--- a/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
@@ -96,9 +96,7 @@
         try {
             state = ControlState.parseFrom(snapshot);
         } catch (InvalidProtocolBufferException e) {
-            FailureException failure = new FailureException(FailureType.LOG_CORRUPTED, "snapshot of the state");
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.LOG_CORRUPTED, "snapshot of the state", e);
         }
         configuration.restore(Configurations.declared(state.getConfiguration()));
         groups.clear();
--- a/control/src/main/java/org/hornbeamspread/control/storage/CheckedFiles.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/CheckedFiles.java
@@ -82,9 +82,6 @@
         String message = String.valueOf(error.getMessage());
         boolean full = message.toLowerCase(Locale.ROOT).contains("no space left")
                 || message.toLowerCase(Locale.ROOT).contains("quota exceeded");
-        FailureException failure =
-                new FailureException(full ? FailureType.DISK_FULL : FailureType.DISK_FAILED, message);
-        failure.initCause(error);
-        return failure;
+        return new FailureException(full ? FailureType.DISK_FULL : FailureType.DISK_FAILED, message, error);
     }
 }
--- a/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
@@ -306,9 +306,7 @@
         try {
             log.force(false);
         } catch (IOException e) {
-            FailureException failure = new FailureException(FailureType.DISK_FAILED, String.valueOf(e.getMessage()));
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.DISK_FAILED, String.valueOf(e.getMessage()), e);
         }
     }
 
--- a/control/src/main/java/org/hornbeamspread/control/storage/RecordCodec.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/RecordCodec.java
@@ -81,9 +81,7 @@
         try {
             return ControlCommand.parseFrom(record.payload().toByteArray());
         } catch (InvalidProtocolBufferException e) {
-            FailureException failure = new FailureException(FailureType.LOG_CORRUPTED, "record " + record.index());
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.LOG_CORRUPTED, "record " + record.index(), e);
         }
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/misc/FailureException.java
+++ b/core/src/main/java/org/hornbeamspread/core/misc/FailureException.java
@@ -24,19 +24,21 @@
 
     /** A failure that advises a retry after a pause; zero for none. */
     public FailureException(FailureType type, String detail, Duration retryAfter) {
-        super(type.message(detail), null, false, false);
+        this(type, detail, retryAfter, null);
+    }
+
+    /** A failure that another error brought about. */
+    public FailureException(FailureType type, String detail, Throwable cause) {
+        this(type, detail, Duration.ZERO, cause);
+    }
+
+    private FailureException(FailureType type, String detail, Duration retryAfter, Throwable cause) {
+        super(type.message(detail), cause, false, false);
         this.type = type;
         this.detail = detail;
         this.retryAfterMs = retryAfter.toMillis();
     }
 
-    private FailureException(Throwable cause) {
-        super(FailureType.INTERNAL.message(String.valueOf(cause)), cause, false, false);
-        this.type = FailureType.INTERNAL;
-        this.detail = String.valueOf(cause);
-        this.retryAfterMs = 0;
-    }
-
     /** The entry of the failure table. */
     public FailureType type() {
         return type;
@@ -61,6 +63,6 @@
         if (cause instanceof FailureException) {
             return (FailureException) cause;
         }
-        return new FailureException(cause);
+        return new FailureException(FailureType.INTERNAL, String.valueOf(cause), cause);
     }
 }
--- a/ctl/src/main/java/org/hornbeamspread/ctl/ConfigurationFile.java
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/ConfigurationFile.java
@@ -25,9 +25,7 @@
         try {
             text = Files.readString(file);
         } catch (IOException e) {
-            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "can't read " + file);
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.INVALID_SETTING, "can't read " + file, e);
         }
         return parse(file.toString(), text);
     }
--- a/emulator/src/main/java/org/hornbeamspread/emulator/FileDatabaseDisk.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/FileDatabaseDisk.java
@@ -192,8 +192,6 @@
     }
 
     private static FailureException failed(IOException cause) {
-        FailureException failure = new FailureException(FailureType.DISK_FAILED, String.valueOf(cause.getMessage()));
-        failure.initCause(cause);
-        return failure;
+        return new FailureException(FailureType.DISK_FAILED, String.valueOf(cause.getMessage()), cause);
     }
 }
--- a/load/src/main/java/org/hornbeamspread/load/LoadMain.java
+++ b/load/src/main/java/org/hornbeamspread/load/LoadMain.java
@@ -139,9 +139,7 @@
         try {
             return Long.parseLong(Files.readString(Path.of(file)).strip());
         } catch (IOException | NumberFormatException e) {
-            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "no time in " + file);
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.INVALID_SETTING, "no time in " + file, e);
         }
     }
 
@@ -152,9 +150,7 @@
             }
             Files.writeString(file, text);
         } catch (IOException e) {
-            FailureException failure = new FailureException(FailureType.INVALID_SETTING, "can't write " + file);
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(FailureType.INVALID_SETTING, "can't write " + file, e);
         }
     }
 }
--- a/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
@@ -70,10 +70,8 @@
                             .maxContentLength(MAX_BODY_BYTES))
                     .handlers(this::chain));
         } catch (Exception e) {
-            FailureException failure = new FailureException(
-                    FailureType.CONNECTION_REFUSED, endpoint.getHost() + ":" + endpoint.getPort() + " " + e);
-            failure.initCause(e);
-            throw failure;
+            throw new FailureException(
+                    FailureType.CONNECTION_REFUSED, endpoint.getHost() + ":" + endpoint.getPort() + " " + e, e);
         }
     }
 
