Histories with many repairs

Cause: the random histories lost about one disk each, since a repair seldom ended: members were down too often and a record travelled alone, so a second loss right after a repair was tried in the directed case only. Change: fewer stops and cuts, several records a message by even seeds, 20 histories of 40,000 steps. No check eased: the same checker and the same left-out rules, each found again.

--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusInterleavingTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusInterleavingTest.java
@@ -15,16 +15,22 @@
     private static final int STEPS = 4_000;
 
     @ParameterizedTest
-    @CsvSource({"3, 1, 150, false", "5, 1001, 50, false", "3, 2001, 60, true", "5, 3001, 40, true", "1, 4001, 20, false"
+    @CsvSource({
+        "3, 1, 150, 4000, false",
+        "5, 1001, 50, 4000, false",
+        "3, 2001, 60, 4000, true",
+        "5, 3001, 40, 4000, true",
+        "1, 4001, 20, 4000, false",
+        "3, 5001, 20, 40000, false"
     })
-    void noHistoryViolatesWithAllRules(int members, long firstSeed, int seeds, boolean anyMembers) {
+    void noHistoryViolatesWithAllRules(int members, long firstSeed, int seeds, int steps, boolean anyMembers) {
         int disksLost = 0;
         int readsConfirmed = 0;
         long committed = 0;
         for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
             LogHarness harness = new LogHarness(members, seed, EnumSet.allOf(ConsensusRule.class));
             try {
-                run(harness, anyMembers);
+                run(harness, steps, anyMembers);
                 if (!anyMembers) {
                     new RandomDriver(harness, false).settle();
                 }
@@ -62,15 +68,15 @@
     private static Optional<String> violation(long seed, Set<ConsensusRule> rules, boolean anyMembers) {
         LogHarness harness = new LogHarness(3, seed, rules);
         try {
-            run(harness, anyMembers);
+            run(harness, STEPS, anyMembers);
             return Optional.empty();
         } catch (LogChecker.Violation | FailureException e) {
             return Optional.of("seed " + seed + ": " + e.getMessage());
         }
     }
 
-    private static void run(LogHarness harness, boolean anyMembers) {
+    private static void run(LogHarness harness, int steps, boolean anyMembers) {
         harness.formed();
-        new RandomDriver(harness, anyMembers).run(STEPS);
+        new RandomDriver(harness, anyMembers).run(steps);
     }
 }
--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
@@ -164,7 +164,7 @@
         voter.crash();
         voter.start();
         assertThat(grantsVote(voter)).isFalse();
-        harness.clock.advance(Duration.ofMillis(LogHarness.TIMES.electionTimeoutMs()));
+        harness.clock.advance(Duration.ofMillis(LogHarness.ELECTION_TIMEOUT_MS));
         assertThat(grantsVote(voter)).isTrue();
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
@@ -15,7 +15,7 @@
 
 /** Members of one log, with the messages and disks between their steps in the hands of a test. */
 final class LogHarness {
-    static final ConsensusTimes TIMES = new ConsensusTimes(100, 20, 1, 64, 4);
+    static final long ELECTION_TIMEOUT_MS = 100;
 
     final PausedClock clock = new PausedClock();
     final SplittableRandom random;
@@ -24,6 +24,7 @@
     final List<Packet> network = new ArrayList<>();
     final Set<String> cutOff = new HashSet<>();
     private final Set<ConsensusRule> rules;
+    private final ConsensusTimes times;
     private final List<String> initialIds;
     private final Map<Long, String> requesters = new HashMap<>();
     private final Map<Long, Long> readsAsked = new HashMap<>();
@@ -34,6 +35,9 @@
     LogHarness(int members, long seed, Set<ConsensusRule> rules) {
         this.random = new SplittableRandom(seed);
         this.rules = rules;
+        // By odd seeds a record travels alone, so that histories can part between any two.
+        int batchBytes = seed % 2 == 1 ? 1 : 1 << 16;
+        this.times = new ConsensusTimes(ELECTION_TIMEOUT_MS, 20, batchBytes, 64, 4);
         this.initialIds = new ArrayList<>();
         for (int i = 1; i <= members; i++) {
             initialIds.add("c" + i);
@@ -150,7 +154,7 @@
             if (up) {
                 return;
             }
-            node = new ConsensusNode(id, initialIds, disk.stored(), TIMES, clock, random.split(), rules);
+            node = new ConsensusNode(id, initialIds, disk.stored(), times, clock, random.split(), rules);
             up = true;
             Snapshot snapshot = disk.stored().snapshot();
             applied = 0;
--- a/core/src/test/java/org/hornbeamspread/core/consensus/RandomDriver.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/RandomDriver.java
@@ -48,17 +48,17 @@
         } else if (dice < 860) {
             harness.clock.advance(Duration.ofMillis(random.nextInt(12)));
             any().tick();
-        } else if (dice < 930) {
+        } else if (dice < 915) {
             propose();
-        } else if (dice < 950) {
+        } else if (dice < 930) {
             any().read();
-        } else if (dice < 956) {
+        } else if (dice < 934) {
             any().crash();
-        } else if (dice < 980) {
+        } else if (dice < 974) {
             any().start();
-        } else if (dice < 988) {
+        } else if (dice < 984) {
             cut();
-        } else if (dice < 996) {
+        } else if (dice < 994) {
             any().snapshot();
         } else {
             loseDisk();
@@ -100,7 +100,7 @@
 
     private void cut() {
         harness.cutOff.clear();
-        if (random.nextBoolean()) {
+        if (random.nextInt(3) == 0) {
             harness.cutOff.add(any().id);
         }
     }
