Proxies and databases name the system they belong to

The cluster id guarded the control log only. Ruled out: a field in every frame (bytes on each statement). Change: RenewView and Announce carry cluster_id; ClusterGuard refuses a foreign renewal with WRONG_CLUSTER, drops a foreign announcement, and counts both. Conclusion: ClusterGuardTest; empty ids are foreign too, so an old proxy is refused with a type.

--- a/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
@@ -13,6 +13,7 @@
 import org.hornbeamspread.control.operations.PublishedState;
 import org.hornbeamspread.control.settings.ControlSettings;
 import org.hornbeamspread.control.state.ControlStateMachine;
+import org.hornbeamspread.control.view.ClusterGuard;
 import org.hornbeamspread.http.RpcServer;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.Endpoint;
@@ -74,7 +75,9 @@
                 clock,
                 metrics);
         PeerServer peerServer = transport
-                .listen(settings.peer(), new SharedPort(log, coordinator))
+                .listen(
+                        settings.peer(),
+                        new SharedPort(log, new ClusterGuard(settings.clusterId(), coordinator, metrics)))
                 .join();
         log.start();
         coordinator.start();
@@ -118,7 +121,7 @@
     }
 
     /** Gives the log its own requests, and everything else to the coordinator. */
-    private record SharedPort(ConsensusService log, Coordinator coordinator) implements PeerHandler {
+    private record SharedPort(ConsensusService log, PeerHandler coordinator) implements PeerHandler {
         @Override
         public void onRequest(PeerConnection connection, Envelope request, Consumer<Envelope> answer) {
             if (!log.handle(connection, request, answer)) {
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/view/ClusterGuardTest.java
@@ -0,0 +1,91 @@
+package org.hornbeamspread.control.view;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.Consumer;
+import org.hornbeamspread.control.failover.ControlMetrics;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Announce;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.RenewView;
+import org.hornbeamspread.protocol.schema.ViewLease;
+import org.hornbeamspread.transport.PeerConnection;
+import org.hornbeamspread.transport.PeerHandler;
+import org.hornbeamspread.transport.PeerServer;
+import org.hornbeamspread.transport.PeerTransport;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class ClusterGuardTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(20);
+    private static final Endpoint LOOPBACK =
+            Endpoint.newBuilder().setHost("127.0.0.1").build();
+
+    @ParameterizedTest
+    @CsvSource({"entoto, true", "ujaas, false", "'', false"})
+    void onlyRenewalsOfTheOwnClusterPass(String clusterId, boolean passes) {
+        try (PeerTransport transport = new PeerTransport(1)) {
+            PeerConnection connection = connect(transport, new Recorder());
+            CompletableFuture<Envelope> answer = connection.request(renewal(clusterId), TIMEOUT);
+            FailureType failure = answer.handle((lease, error) ->
+                            error == null ? null : FailureException.of(error).type())
+                    .join();
+            assertThat(failure).isEqualTo(passes ? null : FailureType.WRONG_CLUSTER);
+        }
+    }
+
+    @Test
+    void foreignAnnouncementsAreDropped() throws InterruptedException {
+        Recorder recorder = new Recorder();
+        try (PeerTransport transport = new PeerTransport(1)) {
+            PeerConnection connection = connect(transport, recorder);
+            connection.push(announcement("ujaas"));
+            connection.push(announcement("entoto"));
+            assertThat(recorder.announced.take()).isEqualTo("entoto");
+            assertThat(recorder.announced).isEmpty();
+        }
+    }
+
+    private static PeerConnection connect(PeerTransport transport, PeerHandler inner) {
+        ClusterGuard guard = new ClusterGuard("entoto", inner, new ControlMetrics(new PrometheusRegistry()));
+        PeerServer server = transport.listen(LOOPBACK, guard).join();
+        Endpoint target = LOOPBACK.toBuilder().setPort(server.port()).build();
+        return transport.connect(target, TIMEOUT, new Recorder()).join();
+    }
+
+    private static Envelope renewal(String clusterId) {
+        return Envelope.newBuilder()
+                .setRenewView(RenewView.newBuilder().setClusterId(clusterId))
+                .build();
+    }
+
+    private static Envelope announcement(String clusterId) {
+        return Envelope.newBuilder()
+                .setAnnounce(Announce.newBuilder().setClusterId(clusterId))
+                .build();
+    }
+
+    /** Answers renewals and keeps announcements. */
+    private static final class Recorder implements PeerHandler {
+        private final LinkedBlockingQueue<String> announced = new LinkedBlockingQueue<>();
+
+        @Override
+        public void onRequest(PeerConnection connection, Envelope request, Consumer<Envelope> answer) {
+            answer.accept(Envelope.newBuilder()
+                    .setViewLease(ViewLease.getDefaultInstance())
+                    .build());
+        }
+
+        @Override
+        public void onPush(PeerConnection connection, Envelope push) {
+            announced.add(push.getAnnounce().getClusterId());
+        }
+    }
+}
--- a/core/src/main/java/org/hornbeamspread/core/misc/FailureType.java
+++ b/core/src/main/java/org/hornbeamspread/core/misc/FailureType.java
@@ -50,6 +50,7 @@
 
     // Control.
     NOT_LEADER(Effect.NOT_RUN, 421, "this control member does not lead: %s"),
+    WRONG_CLUSTER(Effect.NOT_RUN, 421, "the sender belongs to another system: %s"),
     NO_LEADER(Effect.NOT_RUN, 503, "no control leader is known: %s"),
     VERSION_CONFLICT(Effect.NOT_RUN, 409, "the expected version is not the current one: %s"),
     REQUEST_ID_REUSED(Effect.NOT_RUN, 409, "the request id was used for another request: %s"),
--- a/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseLauncher.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseLauncher.java
@@ -40,7 +40,8 @@
                 options.connectionLimit,
                 options.connectTimeMs,
                 options.statementMs,
-                options.replicationLagMs);
+                options.replicationLagMs,
+                options.clusterId);
     }
 
     private static DatabaseState state(EmulatorOptions options, Clock clock) {
--- a/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseServer.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseServer.java
@@ -284,6 +284,7 @@
                 .setConnectionLimit(settings.connectionLimit())
                 .setDeparting(departing)
                 .setReport(report())
+                .setClusterId(settings.clusterId())
                 .build();
     }
 
--- a/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseSettings.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseSettings.java
@@ -20,6 +20,7 @@
  * @param connectTimeMs how long a new connection takes
  * @param statementMs how long a statement holds its slot
  * @param replicationLagMs how long a replica holds entries before it applies them
+ * @param clusterId the system that it announces itself to
  */
 record DatabaseSettings(
         String databaseId,
@@ -32,7 +33,8 @@
         int connectionLimit,
         long connectTimeMs,
         long statementMs,
-        long replicationLagMs) {
+        long replicationLagMs,
+        String clusterId) {
     /** Checks every setting. Fails with INVALID_SETTING. */
     DatabaseSettings {
         announceTo = List.copyOf(announceTo);
--- a/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorOptions.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/EmulatorOptions.java
@@ -40,6 +40,9 @@
     @Option(name = "--replication-lag-ms", usage = "time that a replica holds entries before it applies them")
     long replicationLagMs = 0;
 
+    @Option(name = "--cluster-id", usage = "the system that the database belongs to, as control has it")
+    String clusterId = "hornbeamspread";
+
     @Option(name = "--data-dir", usage = "folder of the log; without it nothing survives a restart")
     String dataDir = "";
 
--- a/emulator/src/test/java/org/hornbeamspread/emulator/TestDatabase.java
+++ b/emulator/src/test/java/org/hornbeamspread/emulator/TestDatabase.java
@@ -49,7 +49,8 @@
                 2,
                 0,
                 0,
-                replicationLagMs);
+                replicationLagMs,
+                "hornbeamspread");
         DatabaseState state =
                 new DatabaseState(DatabaseDisk.none(), DatabaseMetadata.fresh(1, true), List.of(), RowFault.none());
         this.server = new DatabaseServer(settings, state, new PeerTransport(1));
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyOptions.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyOptions.java
@@ -39,6 +39,9 @@
     @Option(name = "--network-threads", usage = "threads of the peer transport, 1 to 64")
     int networkThreads = 2;
 
+    @Option(name = "--cluster-id", usage = "the system that this proxy belongs to, as control has it")
+    String clusterId = "hornbeamspread";
+
     @Option(name = "--slot-order", usage = "who gets a database's next slot: rank, strict or fifo")
     String slotOrder = "rank";
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
@@ -189,6 +189,7 @@
                 .setViewVersion(view.version())
                 .addAllObservations(observations)
                 .addAllHeld(holdings)
+                .setClusterId(settings.clusterId())
                 .build();
     }
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxySettings.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxySettings.java
@@ -27,6 +27,7 @@
  * @param maxRequests requests in progress at once
  * @param networkThreads threads of the peer transport
  * @param slotOrder who gets a database's next slot
+ * @param clusterId the system that this proxy belongs to
  */
 record ProxySettings(
         String proxyId,
@@ -40,7 +41,8 @@
         long idleTransactionMs,
         int maxRequests,
         int networkThreads,
-        SlotOrder slotOrder) {
+        SlotOrder slotOrder,
+        String clusterId) {
     private static final long MAX_MS = 600_000;
     private static final long MIN_IDLE_MS = 100;
     private static final int MAX_REQUESTS = 100_000;
@@ -50,6 +52,7 @@
         checkName("--proxy-id", proxyId);
         checkName("--failure-domain", failureDomain);
         checkName("--region", region);
+        checkName("--cluster-id", clusterId);
         checkRange("--drain-grace-ms", drainGraceMs, 0, MAX_MS);
         checkRange("--idle-transaction-ms", idleTransactionMs, MIN_IDLE_MS, MAX_MS);
         checkRange("--max-requests", maxRequests, 1, MAX_REQUESTS);
@@ -74,7 +77,8 @@
                 options.idleTransactionMs,
                 options.maxRequests,
                 options.networkThreads,
-                SlotOrder.parse(options.slotOrder));
+                SlotOrder.parse(options.slotOrder),
+                options.clusterId);
     }
 
     private static List<Endpoint> endpoints(String list) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/TestBed.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/TestBed.java
@@ -111,7 +111,8 @@
                 IDLE_TRANSACTION_MS,
                 100,
                 1,
-                SlotOrder.RANK);
+                SlotOrder.RANK,
+                "hornbeamspread");
         return new ProxyServer(settings, clock);
     }
 }
