--- a/load/src/main/java/org/hornbeamspread/load/BoundsMain.java
+++ b/load/src/main/java/org/hornbeamspread/load/BoundsMain.java
@@ -38,8 +38,7 @@
             out.println(e.getMessage());
             return CommandLine.EXIT_USAGE;
         } catch (IOException e) {
-            out.println(new FailureException(FailureType.INVALID_SETTING, "can't read " + e.getMessage())
-                    .getMessage());
+            out.println(new FailureException(FailureType.INVALID_SETTING, "can't read " + e.getMessage()).getMessage());
             return CommandLine.EXIT_USAGE;
         }
     }
