--- a/control/src/test/java/org/hornbeamspread/control/failover/ControlSlopes.java
+++ b/control/src/test/java/org/hornbeamspread/control/failover/ControlSlopes.java
@@ -59,14 +59,17 @@
         this.databases = databases;
     }
 
-    /** Prints the table. */
+    /** Prints the table; an argument names the only number of proxies to measure. */
     public static void main(String[] arguments) throws Exception {
         System.out.println("| proxies | databases | renewal us | announcement us | idle step us | log change us"
                 + " | proxy change ms | full view KiB | group delta B | proxies delta KiB | heap MiB |");
         System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
         new ControlSlopes(SIZES[1][0], SIZES[1][1]).line();
         for (int[] size : SIZES) {
-            System.out.println(new ControlSlopes(size[0], size[1]).line());
+            boolean wanted = arguments.length == 0 || Integer.parseInt(arguments[0]) == size[0];
+            if (wanted) {
+                System.out.println(new ControlSlopes(size[0], size[1]).line());
+            }
         }
     }
 
