Departing databases lose their idle connections; no failed start stalls a link

A replica that departs kept its holder's idle connections open, so that it never became empty: they are closed, and none are opened ahead. An exception while a connection or renewal was started would have left the link waiting for ever.

The tests with a short timeout run on a paused clock.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/ConnectionPool.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ConnectionPool.java
@@ -89,11 +89,16 @@
         serve();
     }
 
+    /** Closes what nobody uses. */
+    void closeIdle() {
+        idle.forEach(PeerConnection::close);
+        idle.clear();
+    }
+
     /** Closes what is idle; what is in use is closed when it comes back. */
     void close() {
         closed = true;
-        idle.forEach(PeerConnection::close);
-        idle.clear();
+        closeIdle();
         while (!waiting.isEmpty()) {
             waiting.pollFirst().completeExceptionally(new FailureException(FailureType.WRONG_HOLDER, "no longer held"));
         }
@@ -119,8 +124,7 @@
 
     private void open() {
         opening++;
-        transport
-                .connect(endpoint, OPEN_TIMEOUT, new NoPushes())
+        Futures.start(() -> transport.connect(endpoint, OPEN_TIMEOUT, new NoPushes()))
                 .thenCompose(this::introduce)
                 .whenCompleteAsync(
                         (connection, error) -> {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ControlLink.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ControlLink.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hornbeamspread.core.misc.FailureException;
@@ -105,8 +106,7 @@
             return;
         }
         Endpoint wanted = target;
-        transport
-                .connect(wanted, ANSWER_TIMEOUT, new Pushes())
+        Futures.start(() -> transport.connect(wanted, ANSWER_TIMEOUT, new Pushes()))
                 .whenCompleteAsync(
                         (opened, error) -> {
                             if (error != null) {
@@ -121,9 +121,7 @@
 
     private void send() {
         Instant sentAt = dispatcher.clock().instant();
-        Envelope request = Envelope.newBuilder().setRenewView(renewal.get()).build();
-        connection
-                .request(request, ANSWER_TIMEOUT)
+        Futures.start(this::request)
                 .whenCompleteAsync(
                         (answer, error) -> {
                             if (error != null) {
@@ -137,6 +135,11 @@
                         dispatcher);
     }
 
+    private CompletableFuture<Envelope> request() {
+        Envelope request = Envelope.newBuilder().setRenewView(renewal.get()).build();
+        return connection.request(request, ANSWER_TIMEOUT);
+    }
+
     private void granted(Envelope answer, Instant sentAt) {
         inFlight = false;
         if (publisher.apply(answer.getViewLease(), sentAt)) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/DatabaseLink.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/DatabaseLink.java
@@ -149,8 +149,7 @@
         }
         connecting = true;
         Endpoint wanted = endpoint;
-        transport
-                .connect(wanted, ANSWER_TIMEOUT, new Reports())
+        Futures.start(() -> transport.connect(wanted, ANSWER_TIMEOUT, new Reports()))
                 .whenCompleteAsync(
                         (opened, error) -> {
                             connecting = false;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabase.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabase.java
@@ -26,6 +26,9 @@
     private final ConnectionPool pool;
     private final SlotQueue queue;
 
+    /** The database is departing and not a primary: what is idle is closed and nothing is opened ahead. */
+    private boolean retired;
+
     HeldDatabase(
             Dispatcher dispatcher,
             PeerTransport transport,
@@ -88,10 +91,19 @@
         pool.close();
     }
 
+    /** Sets whether the database is departing and not a primary any more. */
+    void retire(boolean on) {
+        retired = on;
+    }
+
     /** Refuses what can't start any more, and replaces broken connections. Called every now and then. */
     void check() {
         queue.expire();
-        pool.warm(entry.getSlots());
+        if (retired) {
+            pool.closeIdle();
+        } else {
+            pool.warm(entry.getSlots());
+        }
     }
 
     /** Whether an answer on the connection may still come, so that it can't be used for anything else. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabases.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabases.java
@@ -11,6 +11,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.DatabaseEntry;
 import org.hornbeamspread.protocol.schema.ExecuteStatements;
+import org.hornbeamspread.protocol.schema.GroupView;
 import org.hornbeamspread.protocol.schema.PositionReport;
 import org.hornbeamspread.protocol.schema.RankDefinition;
 import org.hornbeamspread.protocol.schema.StatementsExecuted;
@@ -73,9 +74,13 @@
             }
             return lost;
         });
-        for (DatabaseEntry database : view.databases()) {
-            if (database.getHolderProxyId().equals(proxyId)) {
-                held.computeIfAbsent(database.getDatabaseId(), id -> take(view, database));
+        for (GroupView group : view.groups()) {
+            for (DatabaseEntry database : group.getDatabasesList()) {
+                if (database.getHolderProxyId().equals(proxyId)) {
+                    held.computeIfAbsent(database.getDatabaseId(), id -> take(view, database))
+                            .retire(database.getDeparting()
+                                    && !database.getDatabaseId().equals(group.getPrimaryId()));
+                }
             }
         }
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/RelayLinks.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/RelayLinks.java
@@ -106,8 +106,7 @@
         }
         CompletableFuture<PeerConnection> opened = new CompletableFuture<>();
         connections.put(endpoint, opened);
-        transport
-                .connect(endpoint, CONNECT_TIMEOUT, handler)
+        Futures.start(() -> transport.connect(endpoint, CONNECT_TIMEOUT, handler))
                 .whenCompleteAsync(
                         (connection, error) -> {
                             if (error != null) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/PartitionTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/PartitionTest.java
@@ -60,7 +60,9 @@
     }
 
     @Test
-    void aReadPastTheAllowanceIsRefused() {
+    void aReadPastTheAllowanceIsRefusedAlsoAtTheFormerPrimary() {
+        bed.primary.moveTo(1, 6);
+        bed.first.awaitApplied(TestViews.GROUP, "a", new LogPosition(1, 6)).join();
         ExecuteRequest request =
                 TestBed.read().setStalenessAllowanceMs(999).setTimeoutMs(4).build();
         ExecuteResponse answer = bed.execute("p1", request).join();
--- a/proxy/src/test/java/org/hornbeamspread/proxy/ProxyServerTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/ProxyServerTest.java
@@ -51,6 +51,7 @@
 
     @Test
     void anAnswerThatIsBehindTheSessionIsNotPassedOn() {
+        TestBed.awaitSeen(bed.second, "c", new LogPosition(1, 5));
         CompletableFuture<ExecuteResponse> write = bed.execute("p1", TestBed.write("key-1"));
         bed.primary.next().executed(1, 6, "done");
         bed.primary.moveTo(1, 6);
@@ -64,6 +65,16 @@
         assertThat(read.join().getResults(0).getRows(0).getColumns(0)).isEqualTo("fresh");
     }
 
+    @Test
+    void aDepartingReplicaGetsNoMoreReads() {
+        TestBed.awaitSeen(bed.first, "b", new LogPosition(1, 5));
+        bed.publish(1, "p1", 1, "b");
+        CompletableFuture<ExecuteResponse> read =
+                bed.execute("p1", TestBed.read().build());
+        bed.primary.next().executed(1, 5, "at the primary");
+        assertThat(read.join().getDatabaseId()).isEqualTo("a");
+    }
+
     @Test
     void aSessionWithoutItsTokenIsServedFromThePrimarysPositionOnArrival() {
         bed.primary.moveTo(1, 9);
@@ -73,23 +84,6 @@
         assertThat(read.join().getDatabaseId()).isEqualTo("a");
     }
 
-    /** The first statement times out; its answer comes late and must not reach the second one. */
-    @Test
-    void aLateAnswerNeverReachesAnotherStatementAndItsConnectionIsNotUsedAgain() {
-        CompletableFuture<ExecuteResponse> slow = bed.execute(
-                "p1", TestBed.write("").toBuilder().setTimeoutMs(300).build());
-        FakeDatabase.Call late = bed.primary.next();
-        assertThat(slow.join().getFailure().getType()).isEqualTo("TIMEOUT_AFTER_SEND");
-        assertThat(slow.join().getEffect()).isEqualTo(Effect.UNKNOWN);
-        CompletableFuture<ExecuteResponse> next = bed.execute("p1", TestBed.write("key-2"));
-        FakeDatabase.Call second = bed.primary.next();
-        assertThat(second.connection()).isNotSameInstanceAs(late.connection());
-        late.executed(1, 6, "of the first");
-        second.executed(1, 7, "of the second");
-        bed.near.moveTo(1, 7);
-        assertThat(next.join().getResults(0).getRows(0).getColumns(0)).isEqualTo("of the second");
-    }
-
     @Test
     void aKeyedWriteIsSentAgainToTheNewHolder() {
         CompletableFuture<ExecuteResponse> write = bed.execute("p2", TestBed.write("key-1"));
--- a/proxy/src/test/java/org/hornbeamspread/proxy/TestBed.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/TestBed.java
@@ -41,14 +41,18 @@
         publish(1, "p1", 1);
     }
 
-    void publish(long term, String holder, long holderEpoch) {
+    void publish(long term, String holder, long holderEpoch, String... departing) {
         control.publish(
                 TestViews.group(
                         term,
                         true,
                         Stream.of(primary, near, far)
-                                .map(database -> TestViews.database(
-                                        database.databaseId(), database.endpoint(), holder, holderEpoch))
+                                .map(
+                                        database -> TestViews.database(
+                                                        database.databaseId(), database.endpoint(), holder, holderEpoch)
+                                                .toBuilder()
+                                                .setDeparting(List.of(departing).contains(database.databaseId()))
+                                                .build())
                                 .toList()),
                 "p1",
                 "p2");
--- a/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
@@ -16,7 +16,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Interactive transactions through whole proxies, on a paused clock. */
+/**
+ * Connections and interactive transactions through whole proxies. The proxies' clock is paused, so that only a missing
+ * answer ends a request; the transport's own timer runs.
+ */
 final class TransactionTest {
     private final PausedClock clock = new PausedClock();
     private final TestBed bed = new TestBed(clock);
@@ -68,11 +71,28 @@
         assertFailed(end("p2", "Commit", id), "TRANSACTION_LOST", Effect.UNKNOWN);
     }
 
+    /** The first statement times out; its answer comes late and must not reach the second one. */
+    @Test
+    void aLateAnswerNeverReachesAnotherStatementAndItsConnectionIsNotUsedAgain() {
+        CompletableFuture<ExecuteResponse> slow = bed.execute(
+                "p1", TestBed.write("").toBuilder().setTimeoutMs(300).build());
+        FakeDatabase.Call late = bed.primary.next();
+        assertThat(slow.join().getFailure().getType()).isEqualTo("TIMEOUT_AFTER_SEND");
+        assertThat(slow.join().getEffect()).isEqualTo(Effect.UNKNOWN);
+        CompletableFuture<ExecuteResponse> next = bed.execute("p1", TestBed.write("key-2"));
+        FakeDatabase.Call second = bed.primary.next();
+        assertThat(second.connection()).isNotSameInstanceAs(late.connection());
+        late.executed(1, 6, "of the first");
+        second.executed(1, 7, "of the second");
+        bed.near.moveTo(1, 7);
+        assertThat(next.join().getResults(0).getRows(0).getColumns(0)).isEqualTo("of the second");
+    }
+
     /** The answer does not come in time: the outcome is unknown, and the connection is never used again. */
     @ParameterizedTest
     @CsvSource({"Execute, TRANSACTION_LOST", "Commit, TIMEOUT_AFTER_SEND"})
     void aMissingAnswerEndsTheTransaction(String method, String type) {
-        CompletableFuture<BeginResponse> begin = begin("p1", 300);
+        CompletableFuture<BeginResponse> begin = begin("p1", 3_000);
         FakeDatabase.Call begun = bed.primary.next();
         begun.begun();
         String id = begin.join().getTransactionId();
--- a/proxy/src/test/java/org/hornbeamspread/proxy/WritePathTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/WritePathTest.java
@@ -42,6 +42,7 @@
     private final List<CompletableFuture<StatementsExecuted>> answers = new ArrayList<>();
     private final WritePath writes = new WritePath(dispatcher, publisher, databases, this::executeAtDatabase, inFlight);
     private long version;
+    private boolean departing;
 
     @BeforeEach
     void grantFirstLease() {
@@ -137,6 +138,18 @@
         assertThat(failureOf(write)).isEqualTo(FailureType.NO_QUORUM_IN_TIME);
     }
 
+    @Test
+    void aDepartingPrimaryTakesWritesForAShortWhileOnly() {
+        departing = true;
+        view(2, true);
+        dispatcher.sleep(Duration.ofMillis(1_999));
+        view(2, true);
+        assertThat(write("key-1").isDone()).isFalse();
+        dispatcher.sleep(Duration.ofMillis(1));
+        assertThat(failureOf(write("key-2"))).isEqualTo(FailureType.DEPARTING);
+        assertThat(sent).hasSize(1);
+    }
+
     private void freezeIf(boolean here) {
         if (here) {
             dispatcher.sleep(LEASE);
@@ -165,7 +178,9 @@
     private void view(long term, boolean writable) {
         version++;
         List<DatabaseEntry> entries = TestViews.DOMAINS.keySet().stream()
-                .map(id -> TestViews.database(id, Endpoint.getDefaultInstance(), "p1", 1))
+                .map(id -> TestViews.database(id, Endpoint.getDefaultInstance(), "p1", 1).toBuilder()
+                        .setDeparting(departing)
+                        .build())
                 .toList();
         publisher.apply(
                 TestViews.lease(version, TestViews.group(term, writable, entries), List.of()),
