One reader for address maps and endpoint lists

Cause: the address map was read in three ways; two passed over malformed lines. Change: runtime.EndpointSettings; a line that is not announced=reached is refused with file and line in all three daemons.

--- a/control/src/main/java/org/hornbeamspread/control/settings/ControlSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/settings/ControlSettings.java
@@ -1,17 +1,14 @@
 package org.hornbeamspread.control.settings;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.runtime.EndpointSettings;
 import org.hornbeamspread.transport.AddressTranslator;
 
 /**
@@ -71,7 +68,7 @@
                 members(options.members),
                 Duration.ofMillis(options.leaseMs),
                 options.clusterId,
-                translator(options.addressMap));
+                EndpointSettings.addressMap(options.addressMap));
     }
 
     private static List<ControlMember> members(String list) {
@@ -90,26 +87,6 @@
         return members;
     }
 
-    private static AddressTranslator translator(String file) {
-        if (file.isEmpty()) {
-            return AddressTranslator.identity();
-        }
-        Map<Endpoint, Endpoint> table = new HashMap<>();
-        try {
-            for (String line : Files.readAllLines(Path.of(file))) {
-                int equals = line.indexOf('=');
-                if (equals > 0) {
-                    table.put(
-                            AddressTranslator.parse(line.substring(0, equals).trim()),
-                            AddressTranslator.parse(line.substring(equals + 1).trim()));
-                }
-            }
-        } catch (IOException e) {
-            throw new FailureException(FailureType.INVALID_SETTING, "--address-map " + file, e);
-        }
-        return AddressTranslator.table(table);
-    }
-
     private static void check(boolean condition, String detail) {
         if (!condition) {
             throw new FailureException(FailureType.INVALID_SETTING, detail);
--- a/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseLauncher.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/DatabaseLauncher.java
@@ -2,12 +2,11 @@
 
 import java.nio.file.Path;
 import java.time.Clock;
-import java.util.Arrays;
 import java.util.List;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
-import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.LogEntry;
+import org.hornbeamspread.runtime.EndpointSettings;
 import org.hornbeamspread.transport.AddressTranslator;
 import org.hornbeamspread.transport.PeerTransport;
 
@@ -21,9 +20,7 @@
     /** Checks the flags, opens the disk and listens. Fails with INVALID_SETTING, CONNECTION_REFUSED or DISK_FAILED. */
     static DatabaseServer start(EmulatorOptions options, Clock clock) {
         DatabaseSettings settings = settings(options);
-        AddressTranslator translator = options.addressMap.isEmpty()
-                ? AddressTranslator.identity()
-                : AddressMapFile.read(Path.of(options.addressMap));
+        AddressTranslator translator = EndpointSettings.addressMap(options.addressMap);
         DatabaseState state = state(options, clock);
         return new DatabaseServer(settings, state, new PeerTransport(NETWORK_THREADS, translator));
     }
@@ -35,7 +32,7 @@
                 AddressTranslator.parse(options.endpoint),
                 options.failureDomain,
                 options.region,
-                endpoints(options.announceTo),
+                EndpointSettings.list(options.announceTo),
                 options.slots,
                 options.connectionLimit,
                 options.connectTimeMs,
@@ -68,11 +65,4 @@
         }
         return RowFault.dropAcknowledgedRow(options.faultAfterWrites);
     }
-
-    private static List<Endpoint> endpoints(String list) {
-        return Arrays.stream(list.split(",", -1))
-                .filter(item -> !item.isBlank())
-                .map(item -> AddressTranslator.parse(item.trim()))
-                .toList();
-    }
 }
--- /dev/null
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/EndpointSettings.java
@@ -0,0 +1,70 @@
+package org.hornbeamspread.runtime;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.transport.AddressTranslator;
+
+/** Settings that name endpoints: lists of host:port, and address maps. */
+public final class EndpointSettings {
+    private EndpointSettings() {}
+
+    /** The endpoints of a list separated by commas; blank items are passed over. Fails with INVALID_SETTING. */
+    public static List<Endpoint> list(String value) {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (String item : value.split(",", -1)) {
+            if (!item.isBlank()) {
+                endpoints.add(AddressTranslator.parse(item.strip()));
+            }
+        }
+        return List.copyOf(endpoints);
+    }
+
+    /**
+     * The translator of an address map: a file with one {@code announced=reached} a line. An empty name leaves every
+     * address as it is. Fails with INVALID_SETTING, which names the file and the line.
+     */
+    public static AddressTranslator addressMap(String file) {
+        if (file.isEmpty()) {
+            return AddressTranslator.identity();
+        }
+        Map<Endpoint, Endpoint> table = new HashMap<>();
+        for (String line : lines(file)) {
+            if (!line.isBlank()) {
+                int equals = line.indexOf('=');
+                if (equals < 0) {
+                    throw refused("--address-map " + file + " has a line that is not announced=reached: " + line, null);
+                }
+                table.put(endpoint(file, line.substring(0, equals)), endpoint(file, line.substring(equals + 1)));
+            }
+        }
+        return AddressTranslator.table(table);
+    }
+
+    private static List<String> lines(String file) {
+        try {
+            return Files.readAllLines(Path.of(file));
+        } catch (IOException e) {
+            throw refused("--address-map can't be read: " + file, e);
+        }
+    }
+
+    private static Endpoint endpoint(String file, String text) {
+        try {
+            return AddressTranslator.parse(text.strip());
+        } catch (FailureException e) {
+            throw refused("--address-map " + file + ": " + e.detail(), e);
+        }
+    }
+
+    private static FailureException refused(String detail, Throwable cause) {
+        return new FailureException(FailureType.INVALID_SETTING, detail, cause);
+    }
+}
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxySettings.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxySettings.java
@@ -1,15 +1,10 @@
 package org.hornbeamspread.proxy;
 
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.runtime.EndpointSettings;
 import org.hornbeamspread.transport.AddressTranslator;
 
 /**
@@ -71,8 +66,8 @@
                 AddressTranslator.parse(options.httpEndpoint),
                 options.failureDomain,
                 options.region,
-                endpoints(options.control),
-                translator(options.addressMap),
+                EndpointSettings.list(options.control),
+                EndpointSettings.addressMap(options.addressMap),
                 options.drainGraceMs,
                 options.idleTransactionMs,
                 options.maxRequests,
@@ -81,42 +76,6 @@
                 options.clusterId);
     }
 
-    private static List<Endpoint> endpoints(String list) {
-        List<Endpoint> endpoints = new ArrayList<>();
-        for (String part : list.split(",", -1)) {
-            if (!part.isBlank()) {
-                endpoints.add(AddressTranslator.parse(part.strip()));
-            }
-        }
-        return endpoints;
-    }
-
-    private static AddressTranslator translator(String file) {
-        if (file.isEmpty()) {
-            return AddressTranslator.identity();
-        }
-        Map<Endpoint, Endpoint> table = new HashMap<>();
-        for (String line : readLines(file)) {
-            String[] sides = line.strip().split("=", -1);
-            if (line.isBlank()) {
-                continue;
-            }
-            if (sides.length != 2) {
-                throw refused("--address-map has a line that is not announced=reached: " + line);
-            }
-            table.put(AddressTranslator.parse(sides[0]), AddressTranslator.parse(sides[1]));
-        }
-        return AddressTranslator.table(table);
-    }
-
-    private static List<String> readLines(String file) {
-        try {
-            return Files.readAllLines(Path.of(file));
-        } catch (IOException e) {
-            throw refused("--address-map can't be read: " + e);
-        }
-    }
-
     private static void checkName(String flag, String value) {
         if (value.isBlank() || value.indexOf(':') >= 0) {
             throw refused(flag + " must be given and have no colon");
