The exhaustive search asks the proxies' own QuorumTracker

Change: the search asks a fresh QuorumTracker for each acknowledgement; the second form is gone from the main code. Rules 1 and 4 are left out by a tracker for a group of one, and by a rule that ignores the term of the last entry.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SafePromotionRules.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SafePromotionRules.java
@@ -16,11 +16,6 @@
 public final class SafePromotionRules implements PromotionRules {
     private static final Comparator<DatabaseStatus> ORDER = Comparator.comparing(DatabaseStatus::synced);
 
-    @Override
-    public int acknowledgementQuorum(int databases) {
-        return databases / 2 + 1;
-    }
-
     @Override
     public int fenceQuorum(int databases) {
         return databases / 2 + 1;
@@ -31,11 +26,6 @@
         return ORDER;
     }
 
-    @Override
-    public boolean requiresMarker() {
-        return true;
-    }
-
     @Override
     public boolean isTrusted(DatabaseStatus status, Optional<Registration> registration, GroupRecord record) {
         if (registration.isEmpty()) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/PromotionModelTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/PromotionModelTest.java
@@ -21,21 +21,14 @@
     @ParameterizedTest
     @CsvSource({"3, 0, 286390", "2, 1, 355034"})
     void noHistoryLosesAnAcknowledgedWrite(int promotions, int lostDisks, int states) {
-        PromotionSearch search = new PromotionSearch(new SafePromotionRules(), WRITES, promotions, lostDisks);
+        PromotionSearch search = new PromotionSearch(
+                new SafePromotionRules(), Acknowledgement.byQuorumTracker(), WRITES, promotions, lostDisks);
         assertThat(search.firstLoss()).isEmpty();
         assertThat(search.states()).isEqualTo(states);
     }
 
     static Stream<Arguments> rulesLeftOut() {
         return Stream.of(
-                Arguments.of(
-                        Named.of("1: a quorum of holders", new DelegatingRules() {
-                            @Override
-                            public int acknowledgementQuorum(int databases) {
-                                return 1;
-                            }
-                        }),
-                        0),
                 Arguments.of(
                         Named.of("2: a quorum of fenced databases", new DelegatingRules() {
                             @Override
@@ -53,14 +46,6 @@
                             }
                         }),
                         0),
-                Arguments.of(
-                        Named.of("4: the marker", new DelegatingRules() {
-                            @Override
-                            public boolean requiresMarker() {
-                                return false;
-                            }
-                        }),
-                        0),
                 Arguments.of(
                         Named.of("5: no trust after a lost disk", new DelegatingRules() {
                             @Override
@@ -84,7 +69,22 @@
     @ParameterizedTest
     @MethodSource("rulesLeftOut")
     void aHistoryWithoutOneRuleLosesAnAcknowledgedWrite(PromotionRules rules, int lostDisks) {
-        PromotionSearch search = new PromotionSearch(rules, WRITES, 3, lostDisks);
+        assertLoses(new PromotionSearch(rules, Acknowledgement.byQuorumTracker(), WRITES, 3, lostDisks));
+    }
+
+    static Stream<Arguments> acknowledgementsTooEarly() {
+        return Stream.of(
+                Arguments.of(Named.of("1: a quorum of holders", Acknowledgement.byQuorumTracker(1))),
+                Arguments.of(Named.of("4: the marker", Acknowledgement.withoutMarker())));
+    }
+
+    @ParameterizedTest
+    @MethodSource("acknowledgementsTooEarly")
+    void aHistoryOfEarlyAcknowledgementsLosesOne(Acknowledgement acknowledgement) {
+        assertLoses(new PromotionSearch(new SafePromotionRules(), acknowledgement, WRITES, 3, 0));
+    }
+
+    private static void assertLoses(PromotionSearch search) {
         List<String> loss = search.firstLoss();
         assertWithMessage("steps to a loss").that(loss).isNotEmpty();
     }
@@ -93,11 +93,6 @@
     private abstract static class DelegatingRules implements PromotionRules {
         private final SafePromotionRules safe = new SafePromotionRules();
 
-        @Override
-        public int acknowledgementQuorum(int databases) {
-            return safe.acknowledgementQuorum(databases);
-        }
-
         @Override
         public int fenceQuorum(int databases) {
             return safe.fenceQuorum(databases);
@@ -108,11 +103,6 @@
             return safe.promotionOrder();
         }
 
-        @Override
-        public boolean requiresMarker() {
-            return safe.requiresMarker();
-        }
-
         @Override
         public boolean isTrusted(DatabaseStatus status, Optional<Registration> registration, GroupRecord record) {
             return safe.isTrusted(status, registration, record);
--- a/core/src/test/java/org/hornbeamspread/core/failover/PromotionSearch.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/PromotionSearch.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.hornbeamspread.core.acknowledgement.HolderReport;
 import org.hornbeamspread.core.failover.FailoverEffect.AppendRecord;
 import org.hornbeamspread.core.failover.FailoverEffect.AppendRegistrations;
 import org.hornbeamspread.core.failover.FailoverEffect.Fence;
@@ -25,6 +26,7 @@
  */
 final class PromotionSearch {
     private final PromotionRules rules;
+    private final Acknowledgement acknowledgement;
     private final int maxWrites;
     private final int maxPromotions;
     private final int maxLosses;
@@ -37,8 +39,10 @@
 
     private final Deque<ModelState> open = new ArrayDeque<>();
 
-    PromotionSearch(PromotionRules rules, int maxWrites, int maxPromotions, int maxLosses) {
+    PromotionSearch(
+            PromotionRules rules, Acknowledgement acknowledgement, int maxWrites, int maxPromotions, int maxLosses) {
         this.rules = rules;
+        this.acknowledgement = acknowledgement;
         this.maxWrites = maxWrites;
         this.maxPromotions = maxPromotions;
         this.maxLosses = maxLosses;
@@ -99,20 +103,18 @@
     }
 
     private void acknowledge(ModelState state, int index, ModelDatabase primary) {
-        List<DatabaseStatus> replicas = new ArrayList<>();
+        List<HolderReport> trusted = new ArrayList<>();
         for (int i = 0; i < ModelState.DATABASES; i++) {
             DatabaseStatus status = state.database(i).status(i);
             Optional<Registration> registration = Optional.of(state.database(i).registration(i));
-            if (i != index && rules.isTrusted(status, registration, state.record())) {
-                replicas.add(status);
+            if (rules.isTrusted(status, registration, state.record())) {
+                trusted.add(report(status));
             }
         }
         for (int i = 0; i < primary.length(); i++) {
             int write = primary.entryAt(i) % ModelDatabase.WRITES;
             boolean waiting = write != 0 && (state.acknowledged() & 1 << write) == 0;
-            if (waiting
-                    && rules.isAcknowledged(
-                            primary.position(i + 1), primary.status(index), replicas, ModelState.DATABASES)) {
+            if (waiting && acknowledgement.isAllowed(primary.position(i + 1), report(primary.status(index)), trusted)) {
                 reach(
                         state.withAcknowledged(write),
                         state,
@@ -121,6 +123,16 @@
         }
     }
 
+    private static HolderReport report(DatabaseStatus status) {
+        return new HolderReport(
+                status.databaseId(),
+                status.incarnation(),
+                status.term(),
+                status.followedTerm(),
+                status.trusted(),
+                status.synced());
+    }
+
     private void controlSteps(ModelState state) {
         if (state.lateTerm() != 0) {
             promote(state, state.lateTerm(), state.lateIndex(), "late promotion of " + state.lateIndex());
