A request waits for its slot at most half of its rank's target

Ruled out: a limit at the target itself, since statement and acknowledgement come on top of the wait. Change: QueueLimits; the slot queue's latest start is the earlier of the deadline's and the rank's.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabase.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabase.java
@@ -34,12 +34,13 @@
             PeerTransport transport,
             DatabaseEntry entry,
             SlotScheduler scheduler,
+            QueueLimits limits,
             String proxyId) {
         this.dispatcher = dispatcher;
         this.entry = entry;
         this.pool = new ConnectionPool(
                 dispatcher, transport, entry.getEndpoint(), proxyId, Math.max(1, entry.getConnectionLimit()));
-        this.queue = new SlotQueue(dispatcher, scheduler);
+        this.queue = new SlotQueue(dispatcher, scheduler, limits);
         pool.warm(entry.getSlots());
     }
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabases.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/HeldDatabases.java
@@ -133,7 +133,8 @@
 
     private HeldDatabase take(ViewSnapshot view, DatabaseEntry database) {
         SlotScheduler scheduler = schedulers.create(view.configuration(), database);
-        return new HeldDatabase(dispatcher, transport, database, scheduler, proxyId);
+        QueueLimits limits = QueueLimits.of(view.configuration());
+        return new HeldDatabase(dispatcher, transport, database, scheduler, limits, proxyId);
     }
 
     private boolean mayStart(String databaseId, HeldDatabase database, boolean readOnly) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/SlotQueue.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/SlotQueue.java
@@ -15,11 +15,13 @@
 final class SlotQueue {
     private final Dispatcher dispatcher;
     private final SlotScheduler scheduler;
+    private final QueueLimits limits;
     private final Map<Long, Work<?>> waiting = new HashMap<>();
     private long nextRequestId;
     private boolean closed;
 
-    SlotQueue(Dispatcher dispatcher, SlotScheduler scheduler) {
+    SlotQueue(Dispatcher dispatcher, SlotScheduler scheduler, QueueLimits limits) {
+        this.limits = limits;
         this.dispatcher = dispatcher;
         this.scheduler = scheduler;
     }
@@ -33,7 +35,7 @@
             return CompletableFuture.failedFuture(new FailureException(FailureType.WRONG_HOLDER, "no longer held"));
         }
         Instant now = dispatcher.clock().instant();
-        SlotRequest request = new SlotRequest(nextRequestId++, order.rank(), now, order.startBy(now));
+        SlotRequest request = new SlotRequest(nextRequestId++, order.rank(), now, startBy(order, now));
         Work<T> work = new Work<>(request, body);
         waiting.put(request.requestId(), work);
         Optional<FailureException> refusal = scheduler.offer(request);
@@ -72,6 +74,12 @@
         return scheduler.waitingRequests() + scheduler.slotsInUse();
     }
 
+    private Instant startBy(WorkOrder order, Instant now) {
+        Instant byDeadline = order.startBy(now);
+        Instant byRank = now.plus(limits.maxWait(order.rank()));
+        return byRank.isBefore(byDeadline) ? byRank : byDeadline;
+    }
+
     private void startWork() {
         Optional<SlotRequest> next = scheduler.poll(dispatcher.clock().instant());
         while (next.isPresent()) {
