A proxy that is cut off refuses at once

Cause: in a domain cut the proxies of the cut domain repeated VIEW_EXPIRED and NO_REPLICA_IN_TIME until the request's deadline; callers learned after 2 s that they must go elsewhere. Ruled out: /ready turning 503 (reads may go on for as long as the allowance); refusing on the first expired lease (a change of control's leader lets leases run out for a moment). Change: once the lease ran out a second ago or earlier, the retry loop ends after an attempt that proved it did not run. An unknown outcome is still retried: only that can resolve it.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
@@ -89,7 +89,7 @@
                 writes,
                 reads,
                 new TransactionService(requests, publisher, transactions, settings, incarnation),
-                new RetryLoop(requests, metrics),
+                new RetryLoop(requests, metrics, publisher::isCutOff),
                 metrics,
                 settings);
         this.controlLink =
--- a/proxy/src/main/java/org/hornbeamspread/proxy/RetryLoop.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/RetryLoop.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.hornbeamspread.core.admission.RetryBudget;
 import org.hornbeamspread.core.misc.Effect;
@@ -14,7 +15,8 @@
 /**
  * Repeats attempts until one succeeds, the policy or the budget says no, or the deadline comes. Once an attempt ended
  * as unknown, no later refusal turns the outcome into "not run": the earlier attempt may still have run, or may run
- * yet. Owned by the dispatcher's thread.
+ * yet. A proxy that is cut off from control refuses after the first attempt, so that the caller can go elsewhere while
+ * there is time. Owned by the dispatcher's thread.
  */
 final class RetryLoop {
     private static final RetryPolicy POLICY = new RetryPolicy(Duration.ofMillis(5), Duration.ofMillis(50));
@@ -24,9 +26,11 @@
 
     private final Dispatcher dispatcher;
     private final ProxyMetrics metrics;
+    private final BooleanSupplier cutOff;
     private final RetryBudget budget = new RetryBudget();
 
-    RetryLoop(Dispatcher dispatcher, ProxyMetrics metrics) {
+    RetryLoop(Dispatcher dispatcher, ProxyMetrics metrics, BooleanSupplier cutOff) {
+        this.cutOff = cutOff;
         this.dispatcher = dispatcher;
         this.metrics = metrics;
     }
@@ -82,7 +86,7 @@
             Instant now = dispatcher.clock().instant();
             Duration remaining = Duration.between(now, request.order().deadline());
             Optional<Duration> pause = POLICY.nextAttempt(failure.type(), request.kind(), attempts, remaining);
-            if (pause.isEmpty()) {
+            if (pause.isEmpty() || (failure.type().effect() == Effect.NOT_RUN && cutOff.getAsBoolean())) {
                 fail(failure);
                 return;
             }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ViewPublisher.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ViewPublisher.java
@@ -7,6 +7,9 @@
 
 /** Holds the leased view that everything in this proxy acts on. One thread writes it, any thread reads it. */
 final class ViewPublisher {
+    /** Longer than a change of control's leader takes. */
+    private static final Duration CUT_OFF_AFTER = Duration.ofSeconds(1);
+
     private final Clock clock;
     private volatile LeasedView current = LeasedView.NONE;
 
@@ -23,6 +26,11 @@
         return current.isFreshAt(clock.instant());
     }
 
+    /** Whether the lease ran out so long ago that waiting for control is not worth a request's time. */
+    boolean isCutOff() {
+        return !current.isFreshAt(clock.instant().minus(CUT_OFF_AFTER));
+    }
+
     /**
      * Takes an answer of control in. An answer of an earlier leader changes nothing and renews nothing.
      *
--- a/proxy/src/test/java/org/hornbeamspread/proxy/RetryLoopTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/RetryLoopTest.java
@@ -18,7 +18,9 @@
 /** The outcome of a request whose attempts end one after another as listed. */
 final class RetryLoopTest {
     private final ManualDispatcher dispatcher = new ManualDispatcher();
-    private final RetryLoop retries = new RetryLoop(dispatcher, new ProxyMetrics(new PrometheusRegistry()));
+    private boolean cutOff;
+    private final RetryLoop retries =
+            new RetryLoop(dispatcher, new ProxyMetrics(new PrometheusRegistry()), () -> cutOff);
 
     @ParameterizedTest
     @CsvSource({
@@ -49,6 +51,20 @@
         assertThat(made[0]).isEqualTo(attemptsMade);
     }
 
+    /** An unknown outcome is still worth other attempts: only they can resolve it. */
+    @ParameterizedTest
+    @CsvSource({
+        "VIEW_EXPIRED DONE, false, DONE, 2",
+        "VIEW_EXPIRED DONE, true, VIEW_EXPIRED, 1",
+        "NO_REPLICA_IN_TIME DONE, true, NO_REPLICA_IN_TIME, 1",
+        "TIMEOUT_AFTER_SEND DONE, true, DONE, 2",
+        "TIMEOUT_AFTER_SEND VIEW_EXPIRED DONE, true, TIMEOUT_AFTER_SEND, 2",
+    })
+    void aProxyThatIsCutOffRefusesAtOnce(String attempts, boolean isCutOff, String outcome, int attemptsMade) {
+        cutOff = isCutOff;
+        noLaterRefusalTurnsAnUnknownOutcomeIntoNotRun(attempts, StatementKind.READ, outcome, attemptsMade);
+    }
+
     private static CompletableFuture<String> end(String name) {
         return "DONE".equals(name)
                 ? CompletableFuture.completedFuture(name)
