Of equal candidates the primary goes to the region with most members

Ruled out: the region before the log's order: a handover with three fenced databases would set entries aside. Change: after the log's order, the number of live members in the region, then a hash that spreads groups over failure domains.

--- a/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/LeaderSession.java
@@ -286,8 +286,10 @@
         int recent = group.failover().recentPromotions();
         Map<String, Long> suspected = new HashMap<>();
         List<DatabaseStatus> statuses = new ArrayList<>();
+        Map<String, String> regions = new HashMap<>();
         for (AnnouncedDatabase database : databases) {
             statuses.add(database.status());
+            regions.put(database.databaseId(), database.region());
             if (detector.isSuspected(database.databaseId(), recent)) {
                 suspected.put(
                         database.databaseId(),
@@ -302,6 +304,7 @@
                 group.registrations(),
                 suspected,
                 group.departing(databases, departingByOrder),
+                regions,
                 () -> oldestVersion >= neededVersion);
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupInput.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupInput.java
@@ -16,6 +16,7 @@
  * @param registrations the members as the log holds them, by name
  * @param suspected the databases that are taken for lost, and for how many milliseconds each has been silent
  * @param departing the databases that should hold no office
+ * @param regions the region of each announced database, by name
  * @param oldLeasesOver whether no proxy acts on a view older than the one that shows the record's term
  */
 public record GroupInput(
@@ -25,6 +26,7 @@
         Map<String, Registration> registrations,
         Map<String, Long> suspected,
         Set<String> departing,
+        Map<String, String> regions,
         BooleanSupplier oldLeasesOver) {
     /** The latest status of the record's primary, if it is a member and announced. */
     public Optional<DatabaseStatus> primary() {
@@ -45,6 +47,16 @@
                 .toList();
     }
 
+    /** How many members that are not taken for lost share a database's region, itself included; 0 when it is not known. */
+    public long regionMembers(String databaseId) {
+        String region = regions.get(databaseId);
+        return members().stream()
+                .map(DatabaseStatus::databaseId)
+                .filter(id -> !suspected.containsKey(id))
+                .filter(id -> region != null && region.equals(regions.get(id)))
+                .count();
+    }
+
     /** What the log holds of a database. */
     public Optional<Registration> registration(String databaseId) {
         return Optional.ofNullable(registrations.get(databaseId));
--- a/core/src/main/java/org/hornbeamspread/core/failover/PrimaryChoice.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/PrimaryChoice.java
@@ -1,5 +1,6 @@
 package org.hornbeamspread.core.failover;
 
+import com.google.common.hash.Hashing;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -11,7 +12,10 @@
  *
  * <p>Any fenced database may be chosen whose log comes before none of a quorum of fenced ones: that quorum includes a
  * holder of every acknowledged write, so the candidate holds them all. Among these a wished one goes first, then one that
- * is not departing, lost or to be replaced, then the one whose log comes last. Confined to one thread.
+ * is not departing, lost or to be replaced, then the one whose log comes last, so that little is set aside. Of equals, as in
+ * a new group, one in the region with most members: there a quorum holds a write without a message over the link between
+ * regions, and the reads of the other failure domains have a replica near. What is equal still is spread by a hash of the
+ * names, so that not all groups' primaries share a failure domain. Confined to one thread.
  */
 final class PrimaryChoice {
     private final PromotionRules rules;
@@ -57,6 +61,8 @@
         Comparator<DatabaseStatus> preference = Comparator.comparing(this::isWished)
                 .thenComparing(status -> !isAvoided(input, status))
                 .thenComparing(order)
+                .thenComparing(status -> input.regionMembers(status.databaseId()))
+                .thenComparing(PrimaryChoice::spread)
                 .thenComparing(DatabaseStatus::databaseId, Comparator.reverseOrder());
         return fenced.stream()
                 .filter(candidate -> fenced.stream()
@@ -77,6 +83,10 @@
                 .anyMatch(status -> rules.isTrusted(status, input.registration(status.databaseId()), input.record()));
     }
 
+    private static long spread(DatabaseStatus status) {
+        return Hashing.murmur3_128().hashUnencodedChars(status.databaseId()).asLong();
+    }
+
     private boolean isWished(DatabaseStatus status) {
         return wish != null
                 && wish.databaseId.filter(status.databaseId()::equals).isPresent();
--- a/core/src/test/java/org/hornbeamspread/core/failover/ModelState.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/ModelState.java
@@ -144,7 +144,7 @@
             statuses.add(database(i).status(i));
             registrations.put(ModelDatabase.name(i), database(i).registration(i));
         }
-        return new GroupInput(record(), DATABASES, statuses, registrations, suspected, Set.of(), () -> true);
+        return new GroupInput(record(), DATABASES, statuses, registrations, suspected, Set.of(), Map.of(), () -> true);
     }
 
     /** Spreads the packed databases, whose bits a record's own hash code would let collide. */
