--- a/control/src/main/java/org/hornbeamspread/control/failover/Coordinator.java
+++ b/control/src/main/java/org/hornbeamspread/control/failover/Coordinator.java
@@ -4,10 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
-import java.time.Instant;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -33,7 +30,6 @@
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.RenewView;
 import org.hornbeamspread.protocol.schema.Topology;
-import org.hornbeamspread.protocol.schema.ViewChanged;
 import org.hornbeamspread.protocol.schema.ViewLease;
 import org.hornbeamspread.runtime.DutyThread;
 import org.hornbeamspread.transport.Envelopes;
@@ -54,7 +50,6 @@
     private static final int RING_EVENTS = 1 << 16;
     private static final Duration TICK = Duration.ofMillis(20);
     private static final Duration REACHABLE_FOR = Duration.ofSeconds(1);
-    private static final Duration PUSH_INTERVAL = Duration.ofMillis(10);
     private static final Duration EXPIRY = Duration.ofSeconds(30);
 
     private final ReplicatedLog log;
@@ -70,13 +65,7 @@
     private final EffectRunner effects;
     private final RenewalQueue renewals;
     private final DutyThread<ControlEvent> duty;
-    private final Map<String, PeerConnection> proxyConnections = new HashMap<>();
-
-    /** No push of the view's version before this time. */
-    private Instant nextPushAt = Instant.EPOCH;
-
-    /** The version that proxies were last told of. */
-    private long toldVersion;
+    private final VersionPusher pusher;
 
     /** This member's leadership; null while another leads. */
     private LeaderSession session;
@@ -110,6 +99,7 @@
         this.detector = new FailureDetector(clock, timings);
         this.duty = new DutyThread<>("coordinator", RING_EVENTS, this::handle, TICK, this::tick);
         this.databases = new DatabaseClients(transport, duty::offer, metrics);
+        this.pusher = new VersionPusher(clock);
         this.renewals = new RenewalQueue(log, clock, duty::offer);
         this.effects = new EffectRunner(registry, databases, new ProposalSender(log, clock, duty::offer, metrics));
     }
@@ -302,12 +292,12 @@
     private void grant(Renewal renewal) {
         LiveProxy proxy = renewal.proxy();
         session.observe(renewal.request(), proxy);
-        proxyConnections.put(proxy.proxyId(), renewal.connection());
+        pusher.add(proxy.proxyId(), renewal.connection());
         long held = session.view().heldVersion(renewal.request());
         ViewLease lease = session.grant(renewal.request(), proxy, renewal.arrivedAt());
         renewal.answer().accept(Envelope.newBuilder().setViewLease(lease).build());
         if (lease.getViewVersion() > held && session.awaitsConfirmation()) {
-            pushVersion(renewal.connection(), lease.getViewVersion());
+            VersionPusher.push(renewal.connection(), lease.getViewVersion());
         }
     }
 
@@ -318,12 +308,12 @@
             LOG.log(Level.INFO, "leading the control log at term {0}", next.term());
             session = new LeaderSession(next.term(), lease, clock, timings, registry, detector, metrics);
             session.update(state.get());
-            toldVersion = 0;
+            pusher.restart();
             step();
         } else if (!next.isLeader() && session != null) {
             LOG.log(Level.INFO, "no longer leading the control log, term {0}", next.term());
             session = null;
-            proxyConnections.clear();
+            pusher.clear();
             renewals.takeAll().forEach(renewal -> refuseNotLeader(renewal.answer()));
             metrics.state(false, 0, 0);
         }
@@ -343,7 +333,7 @@
 
     private void step() {
         effects.run(session.step(), leadership.term());
-        pushVersion();
+        pusher.push(session.view().version());
     }
 
     private void probe(String databaseId) {
@@ -352,24 +342,6 @@
         }
     }
 
-    private void pushVersion() {
-        long version = session.view().version();
-        Instant now = clock.instant();
-        if (version == toldVersion || now.isBefore(nextPushAt)) {
-            return;
-        }
-        toldVersion = version;
-        nextPushAt = now.plus(PUSH_INTERVAL);
-        proxyConnections.values().removeIf(connection -> !connection.isOpen());
-        proxyConnections.values().forEach(connection -> pushVersion(connection, version));
-    }
-
-    private static void pushVersion(PeerConnection connection, long version) {
-        connection.push(Envelope.newBuilder()
-                .setViewChanged(ViewChanged.newBuilder().setViewVersion(version))
-                .build());
-    }
-
     private void answerTopology(CompletableFuture<Topology> answer) {
         if (session == null) {
             answer.completeExceptionally(notLeader());
