Test of the full disk waits for the leader's own records

Cause: in a fresh clone the test was red once (LEADERSHIP_LOST expected, DISK_FULL seen): the disk was filled while a record of the leader's own, the members, was still to be written; that one met the full disk, and the proposal was refused at once, which is right. Ruled out: a fault of the service; both answers are true for their proposals. Change: the test waits until the three records before are applied. Its assertions are the same.

--- a/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
@@ -142,6 +142,8 @@
             });
             cluster.awaitLeader();
             propose(cluster, "c1", "before");
+            // Else one of the leader's own records, its first and the members, meets the full disk.
+            cluster.awaitApplied("c1", 3);
             full.set(true);
             assertThat(failure(cluster, "unsure")).isEqualTo(FailureType.LEADERSHIP_LOST);
             assertThat(failure(cluster, "refused")).isEqualTo(FailureType.DISK_FULL);
