One way to write an endpoint; two accessors that nobody calls are gone

Cause: host:port was put together in seven places beside the parser that reads it; LeaseRelay.leasedProxies and QuorumTracker.held were never called. Change: AddressTranslator.format, used by control, ctl, the links and both HTTP sides. No change of behaviour.

--- a/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
@@ -19,6 +19,7 @@
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.runtime.MonotonicClock;
+import org.hornbeamspread.transport.AddressTranslator;
 import org.hornbeamspread.transport.PeerConnection;
 import org.hornbeamspread.transport.PeerHandler;
 import org.hornbeamspread.transport.PeerServer;
@@ -115,7 +116,7 @@
                 .filter(member -> member.getMemberId().equals(memberId))
                 .map(endpoint)
                 .filter(found -> !found.getHost().isEmpty())
-                .map(found -> found.getHost() + ":" + found.getPort())
+                .map(AddressTranslator::format)
                 .findFirst()
                 .orElse("");
     }
--- a/core/src/main/java/org/hornbeamspread/core/acknowledgement/QuorumTracker.java
+++ b/core/src/main/java/org/hornbeamspread/core/acknowledgement/QuorumTracker.java
@@ -107,11 +107,6 @@
         waiting.removeIf(entry -> entry.held == write);
     }
 
-    /** The highest position that a majority holds at the current term. */
-    public LogPosition held() {
-        return held;
-    }
-
     /** Writes that wait for a majority. */
     public int waitingWrites() {
         return waiting.size();
--- a/core/src/main/java/org/hornbeamspread/core/dissemination/LeaseRelay.java
+++ b/core/src/main/java/org/hornbeamspread/core/dissemination/LeaseRelay.java
@@ -94,9 +94,4 @@
         proxies.expire();
         return Math.min(upstream.viewVersion(), proxies.oldestVersion());
     }
-
-    /** Proxies with a lease. */
-    public int leasedProxies() {
-        return proxies.size();
-    }
 }
--- a/ctl/src/main/java/org/hornbeamspread/ctl/ControlCommand.java
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/ControlCommand.java
@@ -32,8 +32,8 @@
                     leads ? "leader" : "follower",
                     member.getVoting(),
                     member.getMatchedIndex(),
-                    member.getPeer().getHost() + ":" + member.getPeer().getPort(),
-                    member.getHttp().getHost() + ":" + member.getHttp().getPort());
+                    AddressTranslator.format(member.getPeer()),
+                    AddressTranslator.format(member.getHttp()));
         }
         session.print(topology, table);
     }
--- a/ctl/src/main/java/org/hornbeamspread/ctl/TopologyCommands.java
+++ b/ctl/src/main/java/org/hornbeamspread/ctl/TopologyCommands.java
@@ -2,20 +2,16 @@
 
 import java.time.Duration;
 import org.hornbeamspread.protocol.schema.DatabaseEntry;
-import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.GroupView;
 import org.hornbeamspread.protocol.schema.ProxyEntry;
 import org.hornbeamspread.protocol.schema.Topology;
+import org.hornbeamspread.transport.AddressTranslator;
 import org.kohsuke.args4j.Option;
 
 /** The questions about the running system. */
 public final class TopologyCommands {
     private TopologyCommands() {}
 
-    private static String text(Endpoint endpoint) {
-        return endpoint.getHost() + ":" + endpoint.getPort();
-    }
-
     private static String orDash(String value) {
         return value.isEmpty() ? "-" : value;
     }
@@ -44,7 +40,7 @@
                         group.getGroup(),
                         primary ? "primary" : "replica",
                         database.getFailureDomain(),
-                        text(database.getEndpoint()),
+                        AddressTranslator.format(database.getEndpoint()),
                         database.getReachable(),
                         database.getTrusted(),
                         database.getDeparting(),
@@ -61,7 +57,7 @@
                     proxy.getProxyId(),
                     proxy.getFailureDomain(),
                     proxy.getRegion(),
-                    text(proxy.getHttp()),
+                    AddressTranslator.format(proxy.getHttp()),
                     proxy.getConfigurationVersion(),
                     proxy.getDraining());
         }
--- a/emulator/src/main/java/org/hornbeamspread/emulator/LinkServer.java
+++ b/emulator/src/main/java/org/hornbeamspread/emulator/LinkServer.java
@@ -26,6 +26,7 @@
 import org.hornbeamspread.protocol.schema.LinkBytes;
 import org.hornbeamspread.protocol.schema.SetCutRequest;
 import org.hornbeamspread.protocol.schema.SetCutResponse;
+import org.hornbeamspread.transport.AddressTranslator;
 
 /** Forwards every route of a plan with its lanes' latency, bandwidth and cuts. One event loop owns all lanes. */
 final class LinkServer implements AutoCloseable {
@@ -82,9 +83,7 @@
                 .bind(route.listen().getHost(), route.listen().getPort())
                 .awaitUninterruptibly();
         if (!bound.isSuccess()) {
-            throw new FailureException(
-                    FailureType.CONNECTION_REFUSED,
-                    route.listen().getHost() + ":" + route.listen().getPort());
+            throw new FailureException(FailureType.CONNECTION_REFUSED, AddressTranslator.format(route.listen()));
         }
         return bound.channel();
     }
--- a/protocol/src/main/java/org/hornbeamspread/http/RpcClient.java
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcClient.java
@@ -14,6 +14,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Failure;
+import org.hornbeamspread.transport.AddressTranslator;
 import org.hornbeamspread.transport.Envelopes;
 
 /** Calls the schema's methods over HTTP, in protobuf's binary form. Safe for any thread. */
@@ -32,7 +33,7 @@
     public <A extends Message> CompletableFuture<A> call(
             Endpoint server, String method, Message request, A answer, Duration timeout) {
         HttpRequest http = HttpRequest.newBuilder(
-                        URI.create("http://" + server.getHost() + ":" + server.getPort() + "/" + method))
+                        URI.create("http://" + AddressTranslator.format(server) + "/" + method))
                 .timeout(timeout)
                 .header("Content-Type", RpcCodec.PROTOBUF.contentType())
                 .POST(HttpRequest.BodyPublishers.ofByteArray(RpcCodec.PROTOBUF.encode(request)))
--- a/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
@@ -16,6 +16,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Failure;
+import org.hornbeamspread.transport.AddressTranslator;
 import org.hornbeamspread.transport.Envelopes;
 import ratpack.exec.Promise;
 import ratpack.handling.Chain;
@@ -70,8 +71,7 @@
                             .maxContentLength(MAX_BODY_BYTES))
                     .handlers(this::chain));
         } catch (Exception e) {
-            throw new FailureException(
-                    FailureType.CONNECTION_REFUSED, endpoint.getHost() + ":" + endpoint.getPort() + " " + e, e);
+            throw new FailureException(FailureType.CONNECTION_REFUSED, AddressTranslator.format(endpoint) + " " + e, e);
         }
     }
 
--- a/protocol/src/main/java/org/hornbeamspread/transport/AddressTranslator.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/AddressTranslator.java
@@ -21,6 +21,11 @@
         return announced -> copy.getOrDefault(announced, announced);
     }
 
+    /** The host and port that {@link #parse} reads. */
+    static String format(Endpoint endpoint) {
+        return endpoint.getHost() + ":" + endpoint.getPort();
+    }
+
     /** Reads a host and port. Fails with INVALID_SETTING. */
     static Endpoint parse(String hostAndPort) {
         int colon = hostAndPort.lastIndexOf(':');
