--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingEvidence.java
@@ -0,0 +1,183 @@
+package org.hornbeamspread.core.failover;
+
+import java.time.Clock;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
+import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.core.sql.ReplicaStatus;
+
+/**
+ * What the members of a group have answered since a token was raised, and which of them holds all that was acknowledged, as far
+ * as the answers of the last moment prove it. Confined to one thread.
+ */
+final class FencingEvidence {
+    /** The replacement of a primary that works is given up after this, unless it is demoted already. */
+    static final long LIVE_REPLACEMENT_LIMIT_MS = 1_500;
+
+    private final Clock clock;
+    private final SyncFailoverTimings timings;
+
+    /** The last answers to status, pause and demote. */
+    private final Map<String, ReplicaStatus> statuses = new HashMap<>();
+
+    private final Map<String, Long> answeredAtMs = new HashMap<>();
+
+    /** The terms of pauses without an answer. */
+    private final Map<String, Long> pauseTerms = new HashMap<>();
+
+    /** The highest term at which a pause was refused: some instance, perhaps out of reach, is at a later one. */
+    private long refusedTerm;
+
+    private Optional<String> demotedId = Optional.empty();
+
+    /** The term that the demoted primary had led. */
+    private long demotedTerm;
+
+    /** Chosen under an earlier token, as far as the log tells; its order may be under way. */
+    private Optional<String> earlierChoice = Optional.empty();
+
+    private long begunAtMs;
+
+    FencingEvidence(Clock clock, SyncFailoverTimings timings) {
+        this.clock = clock;
+        this.timings = timings;
+    }
+
+    /** Forgets all answers, under a new token. */
+    void begin(Optional<String> chosenEarlier) {
+        statuses.clear();
+        answeredAtMs.clear();
+        pauseTerms.clear();
+        demotedId = Optional.empty();
+        earlierChoice = chosenEarlier;
+        begunAtMs = clock.millis();
+    }
+
+    /** Since the token was raised. */
+    long ageMs() {
+        return clock.millis() - begunAtMs;
+    }
+
+    Optional<String> earlierChoice() {
+        return earlierChoice;
+    }
+
+    /** The old primary, once it confirmed that it is a replica. */
+    Optional<String> demotedId() {
+        return demotedId;
+    }
+
+    /** A member answered; false when it refused to pause. */
+    boolean onStatus(String instanceId, ReplicaStatus status) {
+        statuses.put(instanceId, status);
+        answeredAtMs.put(instanceId, clock.millis());
+        Long pauseTerm = pauseTerms.remove(instanceId);
+        boolean refused = pauseTerm != null && status.heldTerm() == 0;
+        if (refused) {
+            refusedTerm = Math.max(refusedTerm, pauseTerm);
+        }
+        return !refused;
+    }
+
+    void onDemoted(String instanceId, long term) {
+        demotedId = Optional.of(instanceId);
+        demotedTerm = term;
+    }
+
+    void onPauseSent(String instanceId, long term) {
+        pauseTerms.put(instanceId, term);
+    }
+
+    /** A term above all that are known, for a pause or a demotion. */
+    long nextTerm() {
+        long known = statuses.values().stream()
+                .mapToLong(status -> Math.max(status.term(), status.heldTerm()))
+                .max()
+                .orElse(0);
+        return 1 + Math.max(known, refusedTerm);
+    }
+
+    /** A member's last answer, unless it is too old to count. */
+    Optional<ReplicaStatus> recentStatus(String id) {
+        return isOld(id) ? Optional.empty() : Optional.ofNullable(statuses.get(id));
+    }
+
+    private boolean isOld(String id) {
+        return clock.millis() - answeredAtMs.getOrDefault(id, Long.MIN_VALUE / 2) > timings.answerAgeMs();
+    }
+
+    /**
+     * The instance that certainly holds every acknowledged commit. The latest primary and one replica hold each of them. So
+     * one of any set of members does that lacks a single one, whichever that is; and so does a primary that is demoted. What is
+     * chosen covers all that answered, so that a primary of an earlier term does not stand for the latest.
+     */
+    Optional<String> choice(List<MemberView> members) {
+        List<MemberView> answered = members.stream()
+                .filter(member -> answersAsReplica(member.instanceId()))
+                .toList();
+        Optional<MemberView> best = answered.stream()
+                .max(Comparator.comparing(this::received)
+                        .thenComparing(member -> !isDemoted(member.instanceId()))
+                        .thenComparing(member -> earlierChoice.equals(Optional.of(member.instanceId())))
+                        .thenComparing(member -> !member.draining()));
+        boolean demotedAnswered = answered.stream().anyMatch(member -> isDemoted(member.instanceId()));
+        long fenced = answered.stream()
+                .filter(member -> isFenced(member.instanceId()))
+                .count();
+        boolean allButOneFenced = fenced >= members.size() - 1L && fenced == answered.size();
+        if (best.isEmpty() || !(demotedAnswered || allButOneFenced)) {
+            return Optional.empty();
+        }
+        long waitedMs = ageMs();
+        boolean better = isDemoted(best.get().instanceId()) || primaryAnswers(members);
+        boolean patient = (better && waitedMs <= LIVE_REPLACEMENT_LIMIT_MS)
+                || (differsFromEarlierChoice(members, best.get()) && waitedMs <= timings.promotionMs());
+        return patient ? Optional.empty() : best.map(MemberView::instanceId);
+    }
+
+    /**
+     * Whether another instance was chosen before. Its order may have been accepted and be about to take effect: what it then
+     * acknowledges until this choice leads would be lost.
+     */
+    private boolean differsFromEarlierChoice(List<MemberView> members, MemberView choice) {
+        return members.stream()
+                .map(MemberView::instanceId)
+                .anyMatch(id -> earlierChoice.equals(Optional.of(id)) && !id.equals(choice.instanceId()));
+    }
+
+    /** Whether a primary answered a moment ago: it can be demoted, so that it acknowledges nothing until its successor leads. */
+    private boolean primaryAnswers(List<MemberView> members) {
+        return members.stream()
+                .map(MemberView::instanceId)
+                .anyMatch(id -> statuses.containsKey(id) && statuses.get(id).primary() && !isOld(id));
+    }
+
+    /**
+     * Whether an instance is the demoted primary, and its log ends where it was demoted: no instance leads or follows a later term,
+     * as after an earlier order that took effect.
+     */
+    boolean isDemoted(String id) {
+        return demotedId.equals(Optional.of(id))
+                && statuses.values().stream().allMatch(status -> status.term() <= demotedTerm);
+    }
+
+    /** Whether an instance answered a moment ago that it does not lead. */
+    private boolean answersAsReplica(String id) {
+        ReplicaStatus status = statuses.get(id);
+        return status != null && !status.primary() && !isOld(id);
+    }
+
+    /** Whether an instance answered a moment ago that it neither leads nor receives. */
+    private boolean isFenced(String id) {
+        return answersAsReplica(id) && (statuses.get(id).heldTerm() > 0 || isDemoted(id));
+    }
+
+    private LogPosition received(MemberView member) {
+        ReplicaStatus status = statuses.get(member.instanceId());
+        return status == null ? LogPosition.NONE : status.received();
+    }
+}
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -17,7 +17,6 @@
 import org.hornbeamspread.core.failover.SyncFailoverEffect.Promote;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.RaiseToken;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.Resume;
-import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /**
@@ -50,44 +49,21 @@
     /** An order without an answer that may not be repeated, since a replica receives again, is given up after this. */
     private static final long REPEAT_LIMIT_MS = 1_500;
 
-    /** The replacement of a primary that works is given up after this, unless it is demoted already. */
-    private static final long LIVE_REPLACEMENT_LIMIT_MS = 1_500;
-
     private final Clock clock;
     private final SyncFailoverTimings timings;
 
-    /** Answers to status, pause and demote since the token was raised. */
-    private final Map<String, ReplicaStatus> statuses = new HashMap<>();
-
-    private final Map<String, Long> answeredAtMs = new HashMap<>();
-
-    /** The terms of pauses without an answer. */
-    private final Map<String, Long> pauseTerms = new HashMap<>();
-
-    /** The highest term at which a pause was refused: some instance, perhaps out of reach, is at a later one. */
-    private long refusedTerm;
-
+    private final FencingEvidence evidence;
     private final Map<String, Long> commandsSentAtMs = new HashMap<>();
     private final Set<String> pausedIds = new HashSet<>();
-    private Optional<String> demotedId = Optional.empty();
-
-    /** The term that the demoted primary had led. */
-    private long demotedTerm;
-
     /** The token that this leader raised; 0 for none. */
     private long ownToken;
 
     /** Whether an order under an earlier token may still be carried out. */
     private boolean earlierOrder;
 
-    /** Chosen under an earlier token, as far as the log tells. */
-    private Optional<String> earlierChoice = Optional.empty();
-
     /** Refused by the platform for good, so that no order for it is under way. */
     private Optional<String> refusedChoice = Optional.empty();
 
-    private long raisedAtMs;
-
     /** Whether the present promotion replaces a primary that works. */
     private boolean replacesLivePrimary;
 
@@ -111,6 +87,7 @@
     public SyncGroupFailover(Clock clock, SyncFailoverTimings timings) {
         this.clock = clock;
         this.timings = timings;
+        this.evidence = new FencingEvidence(clock, timings);
         this.aliveAtMs = clock.millis() + timings.firstDetectionMs() - timings.detectionMs();
     }
 
@@ -177,15 +154,9 @@
 
     /** An instance answered a status question, a pause or a demotion. */
     public void onStatus(String instanceId, ReplicaStatus status) {
-        statuses.put(instanceId, status);
-        answeredAtMs.put(instanceId, clock.millis());
-        boolean refused = pauseTerms.containsKey(instanceId) && status.heldTerm() == 0;
-        if (refused) {
-            refusedTerm = Math.max(refusedTerm, pauseTerms.get(instanceId));
-        } else {
+        if (evidence.onStatus(instanceId, status)) {
             commandsSentAtMs.remove(instanceId);
         }
-        pauseTerms.remove(instanceId);
         if (status.heldTerm() > 0 && !status.primary()) {
             pausedIds.add(instanceId);
         }
@@ -195,8 +166,7 @@
     public void onDemoted(String instanceId, ReplicaStatus status) {
         onStatus(instanceId, status);
         if (!status.primary()) {
-            demotedId = Optional.of(instanceId);
-            demotedTerm = status.term();
+            evidence.onDemoted(instanceId, status.term());
         }
     }
 
@@ -281,27 +251,23 @@
     }
 
     private List<SyncFailoverEffect> raise(Situation situation, long nowMs) {
-        statuses.clear();
-        answeredAtMs.clear();
-        pauseTerms.clear();
         commandsSentAtMs.clear();
         earlierOrder = situation.token() > 0 && !situation.concluded();
-        earlierChoice = situation.concluded()
+        Optional<String> earlierChoice = situation.concluded()
                 ? Optional.empty()
-                : situation.chosenId().or(() -> earlierChoice).filter(id -> !refusedChoice.equals(Optional.of(id)));
+                : situation.chosenId().or(evidence::earlierChoice).filter(id -> !refusedChoice.equals(Optional.of(id)));
         refusedChoice = Optional.empty();
-        demotedId = Optional.empty();
+        evidence.begin(earlierChoice);
         orderAnswer = Optional.empty();
         ordered = false;
         ownToken = situation.token() + 1;
-        raisedAtMs = nowMs;
         logPending = true;
         return List.of(new RaiseToken(situation.token()));
     }
 
     private List<SyncFailoverEffect> fence(Situation situation, long nowMs) {
         Optional<MemberView> primary = primary(situation);
-        boolean vain = nowMs - raisedAtMs > LIVE_REPLACEMENT_LIMIT_MS;
+        boolean vain = evidence.ageMs() > FencingEvidence.LIVE_REPLACEMENT_LIMIT_MS;
         if ((!replacesLivePrimary || vain) && isPrimaryBack(situation, nowMs) && primary.isPresent()) {
             logPending = true;
             Choose stay = new Choose(ownToken, primary.get().instanceId());
@@ -312,7 +278,7 @@
             settledAtMs = nowMs - timings.promotionMs() - 1;
             return List.of(stay, new Conclude(ownToken, primary.get().instanceId()));
         }
-        Optional<String> choice = choice(situation);
+        Optional<String> choice = evidence.choice(situation.members());
         if (choice.isPresent()) {
             logPending = true;
             return List.of(new Choose(ownToken, choice.get()));
@@ -321,29 +287,25 @@
     }
 
     private boolean isPrimaryBack(Situation situation, long nowMs) {
-        boolean proven = nowMs - aliveAtMs < timings.commandRetryMs() && aliveAtMs > raisedAtMs;
-        return proven && demotedId.isEmpty() && !ordered && situation.stalledWriteMs() == 0;
+        boolean proven = nowMs - aliveAtMs < timings.commandRetryMs() && aliveAtMs > nowMs - evidence.ageMs();
+        return proven && evidence.demotedId().isEmpty() && !ordered && situation.stalledWriteMs() == 0;
     }
 
     private List<SyncFailoverEffect> commands(Situation situation, long nowMs) {
         List<SyncFailoverEffect> effects = new ArrayList<>();
-        long known = statuses.values().stream()
-                .mapToLong(status -> Math.max(status.term(), status.heldTerm()))
-                .max()
-                .orElse(0);
-        long term = 1 + Math.max(known, refusedTerm);
+        long term = evidence.nextTerm();
         for (MemberView member : situation.members()) {
             String id = member.instanceId();
             if (!isDue(id, nowMs)) {
                 continue;
             }
-            ReplicaStatus status = statuses.get(id);
-            if (status == null || isOld(id, nowMs)) {
+            Optional<ReplicaStatus> status = evidence.recentStatus(id);
+            if (status.isEmpty()) {
                 effects.add(new AskStatus(id));
-            } else if (status.primary()) {
+            } else if (status.get().primary()) {
                 demote(situation, id, term).ifPresent(effects::add);
-            } else if (status.heldTerm() == 0 && !isDemoted(id)) {
-                pauseTerms.put(id, term);
+            } else if (status.get().heldTerm() == 0 && !evidence.isDemoted(id)) {
+                evidence.onPauseSent(id, term);
                 effects.add(new Pause(id, term));
             } else {
                 commandsSentAtMs.remove(id);
@@ -362,14 +324,9 @@
 
     /** Whether a replica that could lead has just answered. A primary that works is not demoted for nothing. */
     private boolean hasSuccessor(Situation situation) {
-        long nowMs = clock.millis();
         return situation.members().stream()
                 .filter(this::mayLead)
-                .anyMatch(member -> !isOld(member.instanceId(), nowMs));
-    }
-
-    private boolean isOld(String id, long nowMs) {
-        return nowMs - answeredAtMs.getOrDefault(id, Long.MIN_VALUE / 2) > timings.answerAgeMs();
+                .anyMatch(member -> evidence.recentStatus(member.instanceId()).isPresent());
     }
 
     private boolean isDue(String command, long nowMs) {
@@ -381,78 +338,6 @@
         return true;
     }
 
-    /**
-     * The instance that certainly holds every acknowledged commit. The latest primary and one replica hold each of them. So
-     * one of any set of members does that lacks a single one, whichever that is; and so does a primary that is demoted. What is
-     * chosen covers all that answered, so that a primary of an earlier term does not stand for the latest.
-     */
-    private Optional<String> choice(Situation situation) {
-        long nowMs = clock.millis();
-        List<MemberView> answered = situation.members().stream()
-                .filter(member -> answersAsReplica(member.instanceId()))
-                .toList();
-        Optional<MemberView> best = answered.stream()
-                .max(Comparator.comparing(this::received)
-                        .thenComparing(member -> !isDemoted(member.instanceId()))
-                        .thenComparing(member -> earlierChoice.equals(Optional.of(member.instanceId())))
-                        .thenComparing(member -> !member.draining()));
-        boolean demotedAnswered = answered.stream().anyMatch(member -> isDemoted(member.instanceId()));
-        long fenced = answered.stream()
-                .filter(member -> isFenced(member.instanceId()))
-                .count();
-        boolean allButOneFenced = fenced >= situation.members().size() - 1L && fenced == answered.size();
-        if (best.isEmpty() || !(demotedAnswered || allButOneFenced)) {
-            return Optional.empty();
-        }
-        long waitedMs = nowMs - raisedAtMs;
-        boolean better = isDemoted(best.get().instanceId()) || primaryAnswers(situation);
-        boolean patient = (better && waitedMs <= LIVE_REPLACEMENT_LIMIT_MS)
-                || (differsFromEarlierChoice(situation, best.get()) && waitedMs <= timings.promotionMs());
-        return patient ? Optional.empty() : best.map(MemberView::instanceId);
-    }
-
-    /**
-     * Whether another instance was chosen before. Its order may have been accepted and be about to take effect: what it then
-     * acknowledges until this choice leads would be lost.
-     */
-    private boolean differsFromEarlierChoice(Situation situation, MemberView choice) {
-        return situation.members().stream()
-                .map(MemberView::instanceId)
-                .anyMatch(id -> earlierChoice.equals(Optional.of(id)) && !id.equals(choice.instanceId()));
-    }
-
-    /** Whether a primary answered a moment ago: it can be demoted, so that it acknowledges nothing until its successor leads. */
-    private boolean primaryAnswers(Situation situation) {
-        return situation.members().stream()
-                .map(MemberView::instanceId)
-                .anyMatch(id -> statuses.containsKey(id) && statuses.get(id).primary() && !isOld(id, clock.millis()));
-    }
-
-    /**
-     * Whether an instance is the demoted primary, and its log ends where it was demoted: no instance leads or follows a later term,
-     * as after an earlier order that took effect.
-     */
-    private boolean isDemoted(String id) {
-        return demotedId.equals(Optional.of(id))
-                && statuses.values().stream().allMatch(status -> status.term() <= demotedTerm);
-    }
-
-    /** Whether an instance answered a moment ago that it does not lead. */
-    private boolean answersAsReplica(String id) {
-        ReplicaStatus status = statuses.get(id);
-        return status != null && !status.primary() && !isOld(id, clock.millis());
-    }
-
-    /** Whether an instance answered a moment ago that it neither leads nor receives. */
-    private boolean isFenced(String id) {
-        return answersAsReplica(id) && (statuses.get(id).heldTerm() > 0 || isDemoted(id));
-    }
-
-    private LogPosition received(MemberView member) {
-        ReplicaStatus status = statuses.get(member.instanceId());
-        return status == null ? LogPosition.NONE : status.received();
-    }
-
     private List<SyncFailoverEffect> promote(Situation situation, String chosenId, long nowMs) {
         if (orderAnswer.isPresent()) {
             boolean accepted = orderAnswer.get();
@@ -469,7 +354,9 @@
             logPending = true;
             return List.of(new Conclude(ownToken, chosenId));
         }
-        if (!ordered || stays(situation, chosenId) || choice(situation).equals(Optional.of(chosenId))) {
+        if (!ordered
+                || stays(situation, chosenId)
+                || evidence.choice(situation.members()).equals(Optional.of(chosenId))) {
             if (!isDue("promote", nowMs)) {
                 return List.of();
             }
@@ -492,7 +379,7 @@
     /** The member that says it leads; of several, the one that was heard last. */
     private Optional<MemberView> primary(Situation situation) {
         return situation.members().stream()
-                .filter(member -> demotedId.isEmpty() || !demotedId.get().equals(member.instanceId()))
+                .filter(member -> !evidence.demotedId().equals(Optional.of(member.instanceId())))
                 .filter(MemberView::primary)
                 .min(Comparator.comparingLong(MemberView::silentMs));
     }
