--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -140,7 +140,7 @@
             return watch(situation, nowMs);
         }
         if (situation.token() != ownToken) {
-            return raise(situation, nowMs);
+            return raise(situation);
         }
         return situation.chosenId().isPresent()
                 ? promote(situation, situation.chosenId().get(), nowMs)
@@ -204,7 +204,7 @@
         replacesLivePrimary = quiet && (leaving || situation.cutOff());
         boolean replaceable = situation.members().stream().anyMatch(this::mayLead);
         if ((lost || replacesLivePrimary) && replaceable && situation.members().size() > 1) {
-            return raise(situation, nowMs);
+            return raise(situation);
         }
         List<SyncFailoverEffect> effects = new ArrayList<>();
         for (String paused : List.copyOf(pausedIds)) {
@@ -250,7 +250,7 @@
         return !member.primary() && !member.draining() && member.silentMs() < timings.announceLimitMs();
     }
 
-    private List<SyncFailoverEffect> raise(Situation situation, long nowMs) {
+    private List<SyncFailoverEffect> raise(Situation situation) {
         commandsSentAtMs.clear();
         earlierOrder = situation.token() > 0 && !situation.concluded();
         Optional<String> earlierChoice = situation.concluded()
@@ -364,7 +364,7 @@
             return List.of(new Promote(ownToken, chosenId));
         }
         if (nowMs - commandsSentAtMs.getOrDefault("promote", nowMs) > REPEAT_LIMIT_MS) {
-            return raise(situation, nowMs);
+            return raise(situation);
         }
         return commands(situation, nowMs);
     }
