A promotion of long ago does not delay the replacement of a lost primary under a new leader

Cause: found reading the diff: a new leader took a concluded promotion for one that is about to take effect until the promoted instance announced itself to this leader, 3 s where it is the lost primary. Only an order of its own is awaited by announcements after it. Red before: SyncGroupFailoverTest.anEarlierPromotionDoesNotDelayTheReplacementOfALostPrimary.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -32,15 +32,17 @@
  *   <li>The old primary is demoted if it can be reached. Every replica is paused, which stops it from acknowledging.
  *   <li>Once all members but one are paused or demoted, the one with the latest position holds all that was ever
  *       acknowledged, since the primary and a replica hold each commit. A replica that holds all of a demoted primary's log
- *       does too. A pause ends with a restart
- *       and with any promotion, an earlier order that is carried out late included; so only answers of the last moment count.
+ *       does too. A pause ends with a restart and with any promotion, an earlier order that is carried out late included; so only
+ *       answers of the last moment count.
  *   <li>The choice is committed, then ordered, and ordered again until there is a clear answer, as long as it still holds all:
  *       an order without an answer may be carried out much later. Until then no replica is told to receive again.
- *   <li>The end is committed, and the other replicas receive again.
+ *   <li>The end is committed. An accepted order takes a while to take effect, and the old primary may lead until then: the other
+ *       replicas receive again only once the promoted instance has announced that it leads.
  * </ol>
  *
  * <p>A leader that finds a promotion unfinished begins again with a token of its own. While the instance chosen before still
- * qualifies it stays the choice: if its order is carried out late, the new order changes nothing. If the old primary proves to be alive
+ * qualifies it stays the choice: if its order is carried out late, the new order changes nothing; another is ordered only when an
+ * order accepted before would have taken effect. If the old primary proves to be alive
  * while replicas are still missing, it stays, and the replicas are resumed. Where an earlier order may still be under way, the
  * old primary is ordered under the new token first, which changes nothing but has the earlier order refused. Confined to one
  * thread.
@@ -51,10 +53,10 @@
 
     private final Clock clock;
     private final SyncFailoverTimings timings;
-
     private final FencingEvidence evidence;
     private final Map<String, Long> commandsSentAtMs = new HashMap<>();
     private final Set<String> pausedIds = new HashSet<>();
+
     /** The token that this leader raised; 0 for none. */
     private long ownToken;
 
@@ -227,9 +229,11 @@
         Optional<MemberView> promoted = situation.members().stream()
                 .filter(member -> situation.chosenId().equals(Optional.of(member.instanceId())))
                 .findFirst();
-        boolean awaited = promoted.filter(member -> !member.primary() || member.silentMs() >= nowMs - settledAtMs)
+        boolean own = settledToken == ownToken;
+        boolean awaited = promoted.filter(
+                        member -> !member.primary() || (own && member.silentMs() >= nowMs - settledAtMs))
                 .isPresent();
-        boolean earlierAwaited = earlierOrder && settledToken == ownToken;
+        boolean earlierAwaited = earlierOrder && own;
         if ((awaited || earlierAwaited) && nowMs - settledAtMs <= timings.promotionMs()) {
             return true;
         }
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -180,6 +180,18 @@
         assertThat(step(0)).containsExactly(new RaiseToken(1));
     }
 
+    /** A new leader, whose first round of questions has no answer; the promotion in its log was long ago. */
+    @Test
+    void anEarlierPromotionDoesNotDelayTheReplacementOfALostPrimary() {
+        token = 1;
+        chosenId = Optional.of("p");
+        members = List.of(new MemberView("p", false, true, 9_000), A, B);
+        step(9_000);
+        advance(601);
+
+        assertThat(step(9_000)).containsExactly(new RaiseToken(1));
+    }
+
     @Test
     void aDepartingReplicaIsChosenOnlyWhereItAloneHoldsMost() {
         members = List.of(PRIMARY, new MemberView("a", true, false, 100), B);
--- a/protocol/src/main/java/org/hornbeamspread/runtime/LogLines.java
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/LogLines.java
@@ -10,7 +10,8 @@
 
 /**
  * Lines on their way to an output, written by a thread of their own from a bounded ring. A line that finds the ring full is
- * dropped and counted; nobody waits. Safe for any thread.
+ * dropped and counted; nobody waits. A {@link DutyThread} would wake up fifty times a second for lines that may wait. Safe for any
+ * thread.
  */
 public final class LogLines {
     private static final int RING_LINES = 1_024;
