--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
@@ -46,7 +46,8 @@
     /**
      * What a member is started with.
      *
-     * @param self this member
+     * @param self this member, by the addresses that others use
+     * @param listen where it takes its peers' connections; another address than the members' where a relay stands between
      * @param clusterId names the log
      * @param initialMembers the members to form the log with
      * @param mayForm whether this is the first start of the whole system
@@ -56,6 +57,7 @@
      */
     public record Settings(
             ControlMember self,
+            Endpoint listen,
             String clusterId,
             List<ControlMember> initialMembers,
             boolean mayForm,
@@ -107,9 +109,8 @@
         ControlMembership membership = new ControlMembership(
                 settings.self(), settings.wantedVoters(), log, log::members, settings.seeds(), transport, events);
         RoutePeers peers = new RoutePeers(control, membership, transport, log::members);
-        PeerServer server = transport
-                .listen(settings.self().getPeer(), new SharedPort(log, peers))
-                .join();
+        PeerServer server =
+                transport.listen(settings.listen(), new SharedPort(log, peers)).join();
         log.onApplied(index -> control.onApplied());
         control.start();
         log.start();
--- a/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
@@ -160,6 +160,7 @@
     private void start(ControlMember self, List<ControlMember> initial, boolean mayForm) {
         RouteDaemon.Settings settings = new RouteDaemon.Settings(
                 self,
+                self.getPeer(),
                 "test",
                 initial,
                 mayForm,
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -71,6 +71,9 @@
     private final Set<String> pausedIds = new HashSet<>();
     private Optional<String> demotedId = Optional.empty();
 
+    /** The term that the demoted primary had led. */
+    private long demotedTerm;
+
     /** The token that this leader raised; 0 for none. */
     private long ownToken;
 
@@ -80,6 +83,9 @@
     /** Chosen under an earlier token, as far as the log tells. */
     private Optional<String> earlierChoice = Optional.empty();
 
+    /** Refused by the platform for good, so that no order for it is under way. */
+    private Optional<String> refusedChoice = Optional.empty();
+
     private long raisedAtMs;
 
     /** Whether the present promotion replaces a primary that works. */
@@ -92,6 +98,15 @@
     /** Since when the group is without a proof of its primary. */
     private long aliveAtMs;
 
+    /** The latest promotion that this leader saw concluded; -1 before the first. */
+    private long settledToken = -1;
+
+    /** When its order was accepted, or first seen as accepted; long ago where nothing was ordered. */
+    private long settledAtMs;
+
+    /** Whether the promoted instance had not begun to lead when last looked at. */
+    private boolean takingOver;
+
     /** A group's failover under a new leader. */
     public SyncGroupFailover(Clock clock, SyncFailoverTimings timings) {
         this.clock = clock;
@@ -181,6 +196,7 @@
         onStatus(instanceId, status);
         if (!status.primary()) {
             demotedId = Optional.of(instanceId);
+            demotedTerm = status.term();
         }
     }
 
@@ -206,15 +222,18 @@
     }
 
     private List<SyncFailoverEffect> watch(Situation situation, long nowMs) {
+        if (awaitsTakeover(situation, nowMs)) {
+            return List.of();
+        }
         long limitMs = situation.refused() ? timings.refusedMs() : timings.detectionMs();
         boolean lost = nowMs - aliveAtMs > limitMs || situation.stalledWriteMs() > timings.writeStallMs();
         Optional<MemberView> primary = primary(situation);
         boolean leaving = primary.isPresent() && primary.get().draining();
-        replacesLivePrimary = leaving || situation.cutOff();
+        // A repeated order of the last promotion may take effect until then, and would undo a demotion.
+        boolean quiet = situation.token() == 0 || nowMs - settledAtMs > timings.promotionMs();
+        replacesLivePrimary = quiet && (leaving || situation.cutOff());
         boolean replaceable = situation.members().stream().anyMatch(this::mayLead);
-        if ((lost || leaving || situation.cutOff())
-                && replaceable
-                && situation.members().size() > 1) {
+        if ((lost || replacesLivePrimary) && replaceable && situation.members().size() > 1) {
             return raise(situation, nowMs);
         }
         List<SyncFailoverEffect> effects = new ArrayList<>();
@@ -226,6 +245,37 @@
         return effects;
     }
 
+    /**
+     * Whether an accepted order may not have taken effect yet. Until then the primary before it may still lead: a replica that
+     * is told to receive again would acknowledge for it, and another promotion would build on what the first is about to undo.
+     */
+    private boolean awaitsTakeover(Situation situation, long nowMs) {
+        if (settledToken != situation.token()) {
+            settledToken = situation.token();
+            beginTakeover(nowMs);
+        }
+        Optional<MemberView> promoted = situation.members().stream()
+                .filter(member -> situation.chosenId().equals(Optional.of(member.instanceId())))
+                .findFirst();
+        boolean awaited = promoted.filter(member -> !member.primary() || member.silentMs() >= nowMs - settledAtMs)
+                .isPresent();
+        boolean earlierAwaited = earlierOrder && settledToken == ownToken;
+        if ((awaited || earlierAwaited) && nowMs - settledAtMs <= timings.promotionMs()) {
+            return true;
+        }
+        if (takingOver) {
+            takingOver = false;
+            boolean sawTakeover = settledAtMs < nowMs;
+            aliveAtMs = Math.max(aliveAtMs, sawTakeover && !awaited ? nowMs : aliveAtMs);
+        }
+        return false;
+    }
+
+    private void beginTakeover(long nowMs) {
+        settledAtMs = nowMs;
+        takingOver = true;
+    }
+
     private boolean mayLead(MemberView member) {
         return !member.primary() && !member.draining() && member.silentMs() < timings.announceLimitMs();
     }
@@ -236,8 +286,10 @@
         pauseTerms.clear();
         commandsSentAtMs.clear();
         earlierOrder = situation.token() > 0 && !situation.concluded();
-        earlierChoice =
-                situation.concluded() ? Optional.empty() : situation.chosenId().or(() -> earlierChoice);
+        earlierChoice = situation.concluded()
+                ? Optional.empty()
+                : situation.chosenId().or(() -> earlierChoice).filter(id -> !refusedChoice.equals(Optional.of(id)));
+        refusedChoice = Optional.empty();
         demotedId = Optional.empty();
         orderAnswer = Optional.empty();
         ordered = false;
@@ -253,9 +305,12 @@
         if ((!replacesLivePrimary || vain) && isPrimaryBack(situation, nowMs) && primary.isPresent()) {
             logPending = true;
             Choose stay = new Choose(ownToken, primary.get().instanceId());
-            return earlierOrder
-                    ? List.of(stay)
-                    : List.of(stay, new Conclude(ownToken, primary.get().instanceId()));
+            if (earlierOrder) {
+                return List.of(stay);
+            }
+            settledToken = ownToken;
+            settledAtMs = nowMs - timings.promotionMs() - 1;
+            return List.of(stay, new Conclude(ownToken, primary.get().instanceId()));
         }
         Optional<String> choice = choice(situation);
         if (choice.isPresent()) {
@@ -285,9 +340,9 @@
             ReplicaStatus status = statuses.get(id);
             if (status == null || isOld(id, nowMs)) {
                 effects.add(new AskStatus(id));
-            } else if (status.primary() && hasSuccessor(situation)) {
-                effects.add(new Demote(id, term));
-            } else if (status.heldTerm() == 0 && !Optional.of(id).equals(demotedId)) {
+            } else if (status.primary()) {
+                demote(situation, id, term).ifPresent(effects::add);
+            } else if (status.heldTerm() == 0 && !isDemoted(id)) {
                 pauseTerms.put(id, term);
                 effects.add(new Pause(id, term));
             } else {
@@ -297,6 +352,14 @@
         return effects;
     }
 
+    private Optional<SyncFailoverEffect> demote(Situation situation, String primaryId, long term) {
+        if (hasSuccessor(situation)) {
+            return Optional.of(new Demote(primaryId, term));
+        }
+        commandsSentAtMs.remove(primaryId);
+        return Optional.empty();
+    }
+
     /** Whether a replica that could lead has just answered. A primary that works is not demoted for nothing. */
     private boolean hasSuccessor(Situation situation) {
         long nowMs = clock.millis();
@@ -341,12 +404,37 @@
         if (best.isEmpty() || !(demotedAnswered || allButOneFenced)) {
             return Optional.empty();
         }
-        boolean patient = isDemoted(best.get().instanceId()) && nowMs - raisedAtMs <= LIVE_REPLACEMENT_LIMIT_MS;
+        long waitedMs = nowMs - raisedAtMs;
+        boolean better = isDemoted(best.get().instanceId()) || primaryAnswers(situation);
+        boolean patient = (better && waitedMs <= LIVE_REPLACEMENT_LIMIT_MS)
+                || (differsFromEarlierChoice(situation, best.get()) && waitedMs <= timings.promotionMs());
         return patient ? Optional.empty() : best.map(MemberView::instanceId);
     }
 
+    /**
+     * Whether another instance was chosen before. Its order may have been accepted and be about to take effect: what it then
+     * acknowledges until this choice leads would be lost.
+     */
+    private boolean differsFromEarlierChoice(Situation situation, MemberView choice) {
+        return situation.members().stream()
+                .map(MemberView::instanceId)
+                .anyMatch(id -> earlierChoice.equals(Optional.of(id)) && !id.equals(choice.instanceId()));
+    }
+
+    /** Whether a primary answered a moment ago: it can be demoted, so that it acknowledges nothing until its successor leads. */
+    private boolean primaryAnswers(Situation situation) {
+        return situation.members().stream()
+                .map(MemberView::instanceId)
+                .anyMatch(id -> statuses.containsKey(id) && statuses.get(id).primary() && !isOld(id, clock.millis()));
+    }
+
+    /**
+     * Whether an instance is the demoted primary, and its log ends where it was demoted: no instance leads or follows a later term,
+     * as after an earlier order that took effect.
+     */
     private boolean isDemoted(String id) {
-        return demotedId.equals(Optional.of(id));
+        return demotedId.equals(Optional.of(id))
+                && statuses.values().stream().allMatch(status -> status.term() <= demotedTerm);
     }
 
     /** Whether an instance answered a moment ago that it does not lead. */
@@ -371,9 +459,12 @@
             orderAnswer = Optional.empty();
             if (!accepted) {
                 ownToken = 0;
+                refusedChoice = Optional.of(chosenId);
                 return List.of();
             }
-            aliveAtMs = nowMs + timings.promotionMs() - timings.detectionMs();
+            aliveAtMs = nowMs;
+            settledToken = ownToken;
+            beginTakeover(nowMs);
             pausedIds.remove(chosenId);
             logPending = true;
             return List.of(new Conclude(ownToken, chosenId));
