--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -8,10 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
-import java.util.random.RandomGenerator;
 import org.hornbeamspread.control.CommandResult;
 import org.hornbeamspread.control.Leadership;
 import org.hornbeamspread.control.StateMachine;
@@ -92,7 +92,7 @@
                         settings.electionTimeout().toMillis(),
                         settings.heartbeatInterval().toMillis()),
                 clock,
-                RandomGenerator.getDefault());
+                new SplittableRandom());
         this.leadership = new Leadership(stored.term(), Optional.empty(), false);
         restore(stored.snapshot());
     }
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -3,11 +3,11 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.security.SecureRandom;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
@@ -66,7 +66,7 @@
             PeerTransport transport,
             PrometheusRegistry registry,
             WriteGuard guard) {
-        long incarnation = new SecureRandom().nextLong(1, Long.MAX_VALUE);
+        long incarnation = new SplittableRandom().nextLong(1, Long.MAX_VALUE);
         this.metrics = new ConsensusMetrics(registry);
         this.directory = new MemberDirectory(settings.members());
         DiskLog files =
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusTimes.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusTimes.java
@@ -11,8 +11,16 @@
  */
 public record ConsensusTimes(
         long electionTimeoutMs, long heartbeatMs, int batchBytes, int uncommittedRecords, int retainedRecords) {
-    /** The shortest wait of a member that has just started: a living leader sends to it twice in this time. */
+    /**
+     * For how long a member that has just started takes a leader for alive that it has not heard: a living one sends to it in this
+     * time. Then it stands for election itself.
+     */
     public long firstElectionMs() {
+        return Math.min(electionTimeoutMs, heartbeatMs);
+    }
+
+    /** Over which the first elections of members that start at once are spread, so that few votes are split. */
+    public long firstElectionSpreadMs() {
         return Math.min(electionTimeoutMs, 2 * heartbeatMs);
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/consensus/Election.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/Election.java
@@ -26,7 +26,7 @@
     Election(NodeState state, RandomGenerator random) {
         this.state = state;
         this.random = random;
-        schedule(state.times.firstElectionMs());
+        schedule(state.times.firstElectionMs(), state.times.firstElectionSpreadMs());
     }
 
     /** Whether no leader was heard, and no vote given, for long enough. */
@@ -40,12 +40,12 @@
 
     /** Waits a whole election timeout again. */
     void postpone() {
-        schedule(state.times.electionTimeoutMs());
+        schedule(state.times.electionTimeoutMs(), state.times.electionTimeoutMs());
     }
 
     /** Waits less: a vote that was split or refused is tried again sooner than a leader is given up. */
     void retrySoon() {
-        schedule(state.times.electionTimeoutMs() / 2);
+        schedule(state.times.electionTimeoutMs() / 2, state.times.electionTimeoutMs() / 2);
     }
 
     void abandon() {
@@ -116,8 +116,8 @@
         return phase == Phase.VOTE || startVote();
     }
 
-    private void schedule(long shortestMs) {
-        deadlineMs = state.nowMs() + shortestMs + random.nextLong(shortestMs);
+    private void schedule(long shortestMs, long spreadMs) {
+        deadlineMs = state.nowMs() + shortestMs + random.nextLong(spreadMs);
     }
 
     /** What is asked for at present. */
--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
@@ -70,6 +70,24 @@
         }
     }
 
+    /** All members lose power: a leader is back within three heartbeats. */
+    @Test
+    void membersThatStartTogetherElectSoon() {
+        long totalMs = 0;
+        for (long seed = 1; seed <= 50; seed++) {
+            LogHarness harness = new LogHarness(3, seed, EnumSet.allOf(ConsensusRule.class)).formed();
+            harness.runFor(LONG);
+            harness.hosts.values().forEach(LogHarness.Host::crash);
+            harness.network.clear();
+            harness.runFor(LONG);
+            harness.healAll();
+            long startMs = harness.clock.millis();
+            harness.settleUntil(() -> harness.leader().isPresent());
+            totalMs += harness.clock.millis() - startMs;
+        }
+        assertThat(totalMs / 50).isAtMost(3 * LogHarness.HEARTBEAT_MS);
+    }
+
     /** Repeated losses, each as soon as the log names the repaired member. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
--- a/protocol/src/main/java/org/hornbeamspread/runtime/JsonEventLog.java
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/JsonEventLog.java
@@ -1,30 +1,53 @@
 package org.hornbeamspread.runtime;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.BufferedOutputStream;
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.time.Clock;
 import java.util.concurrent.atomic.AtomicLong;
 import org.hornbeamspread.core.misc.EventLog;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
-import org.slf4j.spi.LoggingEventBuilder;
 
 /**
- * Writes events through the logging library, which encodes them as JSON on a thread of its own. Lines over the bound of a
- * second are dropped, and their number is reported with the next second's first line. Safe for any thread.
+ * Events as lines of JSON, one flat object each: the time of day in milliseconds, the event, and its fields. Lines over the bound
+ * of a second are dropped, and their number is reported with the next second's first line. Safe for any thread.
  */
 public final class JsonEventLog implements EventLog {
-    private static final Logger LOG = LoggerFactory.getLogger("events");
+    private static final JsonFactory JSON = new JsonFactory();
     private static final long SECOND_MS = 1_000;
 
     private final Clock clock;
+    private final Clock timeOfDay;
+    private final LogLines output;
     private final long linesPerSecond;
     private final AtomicLong second = new AtomicLong();
     private final AtomicLong lines = new AtomicLong();
-    private final AtomicLong dropped = new AtomicLong();
+    private final AtomicLong overBound = new AtomicLong();
 
-    /** A log of at most so many lines a second. */
-    public JsonEventLog(Clock clock, long linesPerSecond) {
+    /** The last count of lines that found the output's ring full. */
+    private final AtomicLong reportedFull = new AtomicLong();
+
+    /**
+     * A log of at most so many lines a second.
+     *
+     * @param clock a steady clock, which the bound goes by
+     * @param timeOfDay stamps the lines
+     */
+    public JsonEventLog(Clock clock, Clock timeOfDay, long linesPerSecond, LogLines output) {
         this.clock = clock;
+        this.timeOfDay = timeOfDay;
         this.linesPerSecond = linesPerSecond;
+        this.output = output;
+    }
+
+    /** A log on standard output. */
+    public static JsonEventLog onStandardOutput(Clock clock, long linesPerSecond) {
+        LogLines output = new LogLines(new BufferedOutputStream(new FileOutputStream(FileDescriptor.out)));
+        return new JsonEventLog(clock, Clock.systemUTC(), linesPerSecond, output);
     }
 
     @Override
@@ -32,27 +55,54 @@
         long now = clock.millis() / SECOND_MS;
         if (second.getAndSet(now) != now) {
             lines.set(0);
-            long lost = dropped.getAndSet(0);
-            if (lost > 0) {
-                LOG.atInfo()
-                        .setMessage("log_lines_dropped")
-                        .addKeyValue("lines", lost)
-                        .log();
-            }
+            reportDropped();
         }
         if (lines.incrementAndGet() > linesPerSecond) {
-            dropped.incrementAndGet();
-            return;
+            overBound.incrementAndGet();
+        } else {
+            output.offer(line(event, fields));
         }
-        LoggingEventBuilder line = LOG.atInfo().setMessage(event);
-        for (int i = 0; i + 1 < fields.length; i += 2) {
-            line = line.addKeyValue(String.valueOf(fields[i]), fields[i + 1]);
-        }
-        line.log();
     }
 
     /** Lines dropped and not yet reported. */
     public long droppedLines() {
-        return dropped.get();
+        return overBound.get() + output.dropped() - reportedFull.get();
+    }
+
+    private void reportDropped() {
+        long full = output.dropped();
+        long lost = overBound.getAndSet(0) + full - reportedFull.getAndSet(full);
+        if (lost > 0) {
+            output.offer(line("log_lines_dropped", "lines", lost));
+        }
+    }
+
+    private String line(String event, Object... fields) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            json.writeNumberField("time_ms", timeOfDay.millis());
+            json.writeStringField("event", event);
+            for (int i = 0; i + 1 < fields.length; i += 2) {
+                json.writeFieldName(String.valueOf(fields[i]));
+                write(json, fields[i + 1]);
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return text.toString();
+    }
+
+    private static void write(JsonGenerator json, Object value) throws IOException {
+        if (value instanceof Integer || value instanceof Long) {
+            json.writeNumber(((Number) value).longValue());
+        } else if (value instanceof Boolean flag) {
+            json.writeBoolean(flag);
+        } else if (value instanceof Throwable failure) {
+            json.writeString(failure.toString());
+        } else {
+            json.writeString(String.valueOf(value));
+        }
     }
 }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/Placement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/Placement.java
@@ -72,6 +72,7 @@
     private final Deque<Unit> parked = new ArrayDeque<>();
     private SystemView view = SystemView.NONE;
     private boolean retryScheduled;
+    private boolean controlHeard = true;
     private PrimaryProbe probe;
 
     /** Asks a primary for its position; the answer goes to {@link ServiceState#onProof}. */
@@ -143,6 +144,18 @@
         if (deniedMs == null) {
             events.record("not_primary", "instance", instanceId, "pause_ms", NOT_PRIMARY_PAUSE_MS);
         }
+        InstanceLink link = links.get(instanceId);
+        if (link != null) {
+            service(link.instance().service()).onDenied(clock.millis());
+        }
+    }
+
+    /** Whether control is heard, and the view with it up to date. */
+    void onControlHeard(boolean heard) {
+        controlHeard = heard;
+        if (heard) {
+            services.values().forEach(ServiceState::forgetDenials);
+        }
     }
 
     /** An instance proved to be the primary. */
@@ -187,13 +200,28 @@
                 .filter(instance -> instance.instanceId().equals(provenId))
                 .filter(this::mayLead)
                 .findFirst();
-        Optional<InstanceLink> link = announced.or(() -> proven).map(this::link);
+        Optional<InstanceLink> link =
+                announced.or(() -> proven).or(() -> searched(service)).map(this::link);
         if (link.isPresent() && !link.get().isReachable() && link.get().isOutOfReach()) {
             service(service).onUnreachable(clock.millis());
         }
         return link.filter(InstanceLink::isReachable);
     }
 
+    /**
+     * Some instance that has not denied to lead a moment ago. Without control nobody tells who was promoted; whoever is asked proves
+     * it or refuses, and nothing ran.
+     */
+    private Optional<DatabaseInstance> searched(String service) {
+        if (controlHeard) {
+            return Optional.empty();
+        }
+        return view.instances(service).stream()
+                .filter(this::mayLead)
+                .filter(instance -> link(instance).isReachable())
+                .findFirst();
+    }
+
     /** A position that control was told by a proven primary, no older than the time given. */
     void onSharedPosition(String service, long askedMs, long askedEpoch, LogPosition position) {
         ServiceState state = service(service);
@@ -202,11 +230,12 @@
         retryParked();
     }
 
-    /** Whether a service's primary has been out of reach for longer than a time. */
+    /** Whether a service's primary has been out of reach, or not to be found, for longer than a time. */
     boolean lacksPrimary(long longerThanMs) {
         long nowMs = clock.millis();
         return services.values().stream()
-                .anyMatch(state -> state.unreachableSinceMs() > 0 && nowMs - state.unreachableSinceMs() > longerThanMs);
+                .anyMatch(
+                        state -> state.lacksPrimarySinceMs() > 0 && nowMs - state.lacksPrimarySinceMs() > longerThanMs);
     }
 
     /** Whether reads wait for positions that this proxy can't ask for itself. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ServiceState.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ServiceState.java
@@ -20,6 +20,10 @@
     boolean positionsWanted;
 
     private long unreachableSinceMs;
+
+    /** Since when an instance that was asked has denied to lead, without a proof of another; 0 for not at all. */
+    private long deniedSinceMs;
+
     private long epoch;
     private String provenId = "";
     private long provenMs = Long.MIN_VALUE / 4;
@@ -37,6 +41,7 @@
         provenId = instanceId;
         provenMs = Math.max(provenMs, askedMs);
         unreachableSinceMs = 0;
+        deniedSinceMs = 0;
         addSample(askedMs, askedEpoch, position);
     }
 
@@ -55,6 +60,26 @@
         }
     }
 
+    /** An instance that was taken for the primary is not. */
+    void onDenied(long nowMs) {
+        if (deniedSinceMs == 0) {
+            deniedSinceMs = nowMs;
+        }
+    }
+
+    /** Control tells who leads. */
+    void forgetDenials() {
+        deniedSinceMs = 0;
+    }
+
+    /** Since when no primary was found, whether out of reach or denied; 0 when one was. */
+    long lacksPrimarySinceMs() {
+        if (unreachableSinceMs == 0 || deniedSinceMs == 0) {
+            return Math.max(unreachableSinceMs, deniedSinceMs);
+        }
+        return Math.min(unreachableSinceMs, deniedSinceMs);
+    }
+
     /** Since when attempts to reach the primary have failed; 0 when the last one succeeded. */
     long unreachableSinceMs() {
         return unreachableSinceMs;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
@@ -124,6 +124,7 @@
 
     /** Control is heard, or has not been heard since a time. */
     public void onControlHeard(boolean heard) {
+        placement.onControlHeard(heard);
         if (heard) {
             controlLostMs = 0;
         } else if (controlLostMs == 0) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -385,6 +385,34 @@
         assertThat(client.closed).isTrue();
     }
 
+    /** Found by fleetbench score ujaas-core, trouble-1: four of six proxies refused for six seconds, and stayed in rotation. */
+    @Test
+    void aProxyWithoutControlWhosePrimaryLostTheLeadIsNotReadyAndSendsItsSessionsAway() {
+        Client client = harness.open(EngineHarness.TOPUP);
+        harness.engine.onControlHeard(false);
+        harness.primary.primary = false;
+        for (int i = 0; i < 10; i++) {
+            client.send("w" + i, new Write("item", "5"));
+            harness.run(500);
+        }
+
+        assertThat(harness.engine.isReady()).isFalse();
+        assertThat(client.closed).isTrue();
+    }
+
+    @Test
+    void withoutControlAProxyFindsThePromotedInstanceByItself() {
+        Client client = harness.open(EngineHarness.TOPUP);
+        harness.engine.onControlHeard(false);
+        harness.primary.primary = false;
+        harness.far.primary = true;
+        client.send("w1", new Write("item", "5"));
+        harness.run(300);
+
+        assertThat(client.last().isSuccess()).isTrue();
+        assertThat(harness.engine.isReady()).isTrue();
+    }
+
     @Test
     void withoutControlAloneAProxyGoesOn() {
         harness.engine.onControlHeard(false);
