Control's log names each database that came, changed or is gone, with its birth

What on-call missed: instances_changed gave a count. Now the leader writes instance_joined, instance_changed and instance_left, one line each, with id, address, birth, sequence, role and state.

--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -259,6 +260,7 @@
     private void refresh() {
         ControlState state = published.get();
         boolean instancesChanged = !state.getInstancesList().equals(seen.getInstancesList());
+        Collection<DatabaseInstance> known = registry.all();
         if (instancesChanged || !state.getDeparturesList().equals(seen.getDeparturesList())) {
             RouteMessages.restore(registry, state);
         }
@@ -268,6 +270,7 @@
         if (instancesChanged) {
             metrics.onCommit("instances");
             events.record("instances_changed", "instances", state.getInstancesCount());
+            recordChanges(known);
             registry.all().forEach(instance -> heardAtMs.putIfAbsent(instance.instanceId(), clock.millis()));
             heardAtMs.keySet().removeIf(id -> registry.find(id).isEmpty());
         }
@@ -275,6 +278,46 @@
         watchers.publish(state, members.get());
     }
 
+    /** One line for each instance that came, changed or is gone; by the leader only, whose decisions they explain. */
+    private void recordChanges(Collection<DatabaseInstance> before) {
+        if (!leadership.isLeader()) {
+            return;
+        }
+        Set<String> beforeIds = new HashSet<>();
+        for (DatabaseInstance instance : before) {
+            beforeIds.add(instance.instanceId());
+            if (registry.find(instance.instanceId()).isEmpty()) {
+                record("left", instance);
+            }
+        }
+        for (DatabaseInstance instance : registry.all()) {
+            if (!beforeIds.contains(instance.instanceId())) {
+                record("joined", instance);
+            } else if (before.stream().noneMatch(instance::equals)) {
+                record("changed", instance);
+            }
+        }
+    }
+
+    private void record(String change, DatabaseInstance instance) {
+        events.record(
+                "instance_" + change,
+                "service",
+                instance.service(),
+                "instance",
+                instance.instanceId(),
+                "address",
+                instance.address(),
+                "born_ms",
+                instance.bornMs(),
+                "sequence",
+                instance.sequence(),
+                "primary",
+                instance.primary(),
+                "draining",
+                instance.draining());
+    }
+
     private void tick() {
         if (!leadership.isLeader()) {
             return;
