--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -152,6 +152,36 @@
         }
     }
 
+    /** Incident inc1 of ujaas-core: commits were acknowledged between the order for a successor and its taking the lead. */
+    @Test
+    void aLeavingPrimaryAcknowledgesNothingWhileItsSuccessorTakesOver() {
+        members = List.of(new MemberView("p", true, true, 0), A, B);
+        assertThat(step(0)).containsExactly(new RaiseToken(0));
+        failover.logDone();
+        token = 1;
+        concluded = false;
+        step(0);
+        failover.onStatus("p", new ReplicaStatus(true, 2, new LogPosition(2, 237), 0));
+        failover.onStatus("a", replica(2, 237, 0));
+        failover.onStatus("b", replica(2, 237, 0));
+        assertThat(step(0)).containsExactly(new Demote("p", 3), new Pause("a", 3), new Pause("b", 3));
+        failover.onStatus("a", replica(2, 237, 3));
+        failover.onStatus("b", replica(2, 237, 3));
+        assertThat(chosen(step(0))).isFalse();
+        failover.onDemoted("p", replica(2, 237, 0));
+        assertThat(chosen(step(0))).isTrue();
+        chosenId = Optional.of("a");
+        failover.logDone();
+        assertThat(step(0)).containsExactly(new Promote(1, "a"));
+        failover.onOrderAnswered(1, true);
+        assertThat(step(0)).containsExactly(new Conclude(1, "a"));
+        failover.logDone();
+        concluded = true;
+        advance(590);
+
+        assertThat(step(0)).isEmpty();
+    }
+
     /** Found by the same day: the demoted primary followed the successor, and stood for a log that had gone on. */
     @Test
     void aDemotionProvesNothingOnceALaterTermIsSeen() {
