The registry keeps the copies of the log that ended with a database

What went wrong: a database that started again empty under its id, was replaced at its address by another id, or left with its log was forgotten by the registry at once. A promotion's quorum was then counted over what was left, without the incarnation that may have held an acknowledged commit.

The change: InstanceRegistry keeps a LostCopy (service, address, id, birth) of each incarnation that ends: by a later birth of its id, by another id at its address, or by its own departure. At most one for each address of a service, the latest by birth, in a fixed order. recover() drops exactly the entries named. Nothing decides by them yet.

Tests: run first against the interface with no behaviour behind it: 18 of the 28 cases of InstanceRegistryTest (all that name lost copies) and 2 of the 25 of ControlStateMachineTest (lostCopiesAreKeptInSnapshotsUntilTheyAreRecovered, aSnapshotWithoutLostCopiesRestoresToNone) failed; all pass now. aRestoredRegistryDecidesAsTheFirst has a departure of a known database and a registry that is not empty, and checks the lost copies too. The linter build of these modules passes.

--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
@@ -261,7 +261,9 @@
         ControlState state = published.get();
         boolean instancesChanged = !state.getInstancesList().equals(seen.getInstancesList());
         Collection<DatabaseInstance> known = registry.all();
-        if (instancesChanged || !state.getDeparturesList().equals(seen.getDeparturesList())) {
+        if (instancesChanged
+                || !state.getDeparturesList().equals(seen.getDeparturesList())
+                || !state.getLostCopiesList().equals(seen.getLostCopiesList())) {
             RouteMessages.restore(registry, state);
         }
         if (state.getRoutes().getVersion() != seen.getRoutes().getVersion()) {
--- a/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
@@ -92,6 +92,9 @@
                     .addAllDepartures(instances.departures().stream()
                             .map(RouteMessages::wire)
                             .toList())
+                    .addAllLostCopies(instances.lostCopies().stream()
+                            .map(RouteMessages::wire)
+                            .toList())
                     .build();
         }
         return built;
@@ -201,6 +204,8 @@
     private Optional<FailureException> changeInstances(ChangeInstances change) {
         change.getAnnouncedList().forEach(announced -> instances.announce(RouteMessages.instance(announced)));
         change.getDepartedList().forEach(departed -> instances.depart(RouteMessages.departure(departed)));
+        instances.recover(
+                change.getRecoveredList().stream().map(RouteMessages::lostCopy).toList());
         return Optional.empty();
     }
 
--- a/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
@@ -6,18 +6,24 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import org.hornbeamspread.control.CommandResult;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.protocol.schema.ChangeInstances;
 import org.hornbeamspread.protocol.schema.Configuration;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.ControlRecord;
+import org.hornbeamspread.protocol.schema.ControlState;
+import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.GroupDefinition;
 import org.hornbeamspread.protocol.schema.GroupTerm;
+import org.hornbeamspread.protocol.schema.LostInstanceCopy;
 import org.hornbeamspread.protocol.schema.RankDefinition;
+import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.ReplaceConfiguration;
 import org.hornbeamspread.protocol.schema.ServiceDefinition;
 import org.hornbeamspread.protocol.schema.SetDepartures;
@@ -136,6 +142,39 @@
         assertThat(machine.state().getDepartingDatabaseIdsList()).isEmpty();
     }
 
+    @Test
+    void lostCopiesAreKeptInSnapshotsUntilTheyAreRecovered() {
+        apply(machine, instances(born("a", 1, 100), born("b", 2, 100), born("c", 3, 100)));
+        apply(machine, instances(born("a", 1, 200), born("b", 2, 200), born("c", 3, 200)));
+        apply(machine, instances(born("b", 2, 300)));
+        ControlStateMachine restored = new ControlStateMachine(REPLAY_AGE);
+        restored.restore(machine.snapshot());
+
+        for (ControlStateMachine each : List.of(machine, restored)) {
+            assertThat(each.state().getLostCopiesList())
+                    .containsExactly(lost("a", 1, 100), lost("b", 2, 200), lost("c", 3, 100))
+                    .inOrder();
+            apply(each, recovered(lost("a", 1, 100), lost("b", 2, 100)));
+            assertThat(each.state().getLostCopiesList())
+                    .containsExactly(lost("b", 2, 200), lost("c", 3, 100))
+                    .inOrder();
+        }
+        assertThat(restored.state()).isEqualTo(machine.state());
+    }
+
+    @Test
+    void aSnapshotWithoutLostCopiesRestoresToNone() {
+        apply(machine, instances(born("a", 1, 100)));
+        apply(machine, instances(born("a", 1, 200)));
+        assertThat(machine.state().getLostCopiesList()).containsExactly(lost("a", 1, 100));
+        ControlState old = machine.state().toBuilder().clearLostCopies().build();
+        machine.restore(old.toByteString());
+
+        assertThat(machine.state()).isEqualTo(old);
+        apply(machine, instances(born("b", 2, 100)));
+        assertThat(machine.state().getLostCopiesList()).isEmpty();
+    }
+
     private CommandResult apply(ControlStateMachine target, ControlCommand command) {
         return target.apply(ControlRecord.newBuilder()
                 .setIndex(nextIndex++)
@@ -196,4 +235,39 @@
                         SetDepartures.newBuilder().addDatabaseIds("d1").setDeparting(departing))
                 .build();
     }
+
+    private static ControlCommand instances(RegisteredInstance... announced) {
+        return ControlCommand.newBuilder()
+                .setChangeInstances(ChangeInstances.newBuilder().addAllAnnounced(List.of(announced)))
+                .build();
+    }
+
+    private static ControlCommand recovered(LostInstanceCopy... copies) {
+        return ControlCommand.newBuilder()
+                .setChangeInstances(ChangeInstances.newBuilder().addAllRecovered(List.of(copies)))
+                .build();
+    }
+
+    private static RegisteredInstance born(String id, int port, long bornMs) {
+        return RegisteredInstance.newBuilder()
+                .setInstanceId(id)
+                .setService("ledger")
+                .setEndpoint(endpoint(port))
+                .setBornMs(bornMs)
+                .setSequence(1)
+                .build();
+    }
+
+    private static LostInstanceCopy lost(String id, int port, long bornMs) {
+        return LostInstanceCopy.newBuilder()
+                .setInstanceId(id)
+                .setService("ledger")
+                .setEndpoint(endpoint(port))
+                .setBornMs(bornMs)
+                .build();
+    }
+
+    private static Endpoint endpoint(int port) {
+        return Endpoint.newBuilder().setHost("10.0.0.1").setPort(port).build();
+    }
 }
--- a/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
+++ b/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.hornbeamspread.core.membership.Address;
 
 /**
  * The databases that announced themselves and have not left.
@@ -14,6 +16,9 @@
  * <p>Announcements may be late, and ids and addresses are used again. Within one id they are ordered by (birth, sequence);
  * among ids at one address the latest birth holds it. A departure is remembered for a while, so that a late announcement
  * does not bring a database back. Outcomes depend on the calls alone. Confined to one thread.
+ *
+ * <p>An incarnation ends when its id is announced with a later birth, when another id is announced at its address, or when it
+ * leaves. Its log may have gone with it, so it is kept as a {@link LostCopy} until that is recovered.
  */
 public final class InstanceRegistry {
     /** Departures remembered; twice the databases of the largest group that leave at once. */
@@ -22,6 +27,11 @@
     private final NavigableMap<String, DatabaseInstance> instances = new TreeMap<>();
     private final Deque<Departure> departures = new ArrayDeque<>();
 
+    /** The latest incarnation that ended at each place. */
+    private final NavigableMap<Place, LostCopy> lostCopies = new TreeMap<>(Comparator.comparing(Place::service)
+            .thenComparing(place -> place.address().host())
+            .thenComparingInt(place -> place.address().port()));
+
     /** What an announcement is to the registry. */
     public enum Verdict {
         /** Older than what is known; ignored. */
@@ -60,10 +70,13 @@
         if (judge(announced) == Verdict.OUTDATED) {
             return;
         }
-        instances
-                .values()
-                .removeIf(other -> !other.instanceId().equals(announced.instanceId())
-                        && other.address().equals(announced.address()));
+        List<DatabaseInstance> ended = instances.values().stream()
+                .filter(known -> endsWith(known, announced))
+                .toList();
+        ended.forEach(known -> {
+            instances.remove(known.instanceId());
+            lose(LostCopy.of(known));
+        });
         instances.put(announced.instanceId(), announced);
     }
 
@@ -72,6 +85,7 @@
         DatabaseInstance known = instances.get(departure.instanceId());
         if (known != null && known.bornMs() <= departure.bornMs()) {
             instances.remove(departure.instanceId());
+            lose(LostCopy.of(known));
         }
         departures.addLast(departure);
         if (departures.size() > REMEMBERED_DEPARTURES) {
@@ -94,12 +108,38 @@
         return List.copyOf(departures);
     }
 
+    /** The incarnations that ended and are not recovered, in order of service and address: the latest of each address. */
+    public List<LostCopy> lostCopies() {
+        return List.copyOf(lostCopies.values());
+    }
+
+    /** Drops exactly these; a later incarnation that ended at the same address stays. */
+    public void recover(Collection<LostCopy> recovered) {
+        lostCopies.values().removeAll(recovered);
+    }
+
     /** Replaces everything. */
-    public void restore(Collection<DatabaseInstance> known, Collection<Departure> departed) {
+    public void restore(Collection<DatabaseInstance> known, Collection<Departure> departed, Collection<LostCopy> lost) {
         instances.clear();
         known.forEach(instance -> instances.put(instance.instanceId(), instance));
         departures.clear();
         departures.addAll(departed);
+        lostCopies.clear();
+        lost.forEach(this::lose);
+    }
+
+    private void lose(LostCopy copy) {
+        lostCopies.merge(
+                new Place(copy.service(), copy.address()),
+                copy,
+                (present, ended) -> ended.bornMs() < present.bornMs() ? present : ended);
+    }
+
+    /** Whether what is known has ended when this announcement is taken: it started again, or another has its address. */
+    private static boolean endsWith(DatabaseInstance known, DatabaseInstance announced) {
+        return known.instanceId().equals(announced.instanceId())
+                ? known.bornMs() < announced.bornMs()
+                : known.address().equals(announced.address());
     }
 
     private boolean isAddressTakenLater(DatabaseInstance announced) {
@@ -108,4 +148,7 @@
                         && other.address().equals(announced.address())
                         && other.bornMs() > announced.bornMs());
     }
+
+    /** An address of a service. */
+    private record Place(String service, Address address) {}
 }
--- a/core/src/test/java/org/hornbeamspread/core/route/InstanceRegistryTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/route/InstanceRegistryTest.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.hornbeamspread.core.membership.Address;
 import org.hornbeamspread.core.route.InstanceRegistry.Departure;
@@ -10,6 +12,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class InstanceRegistryTest {
     private static final DatabaseInstance KNOWN = instance("a", 1, 100, 7, false);
@@ -71,12 +74,127 @@
     @Test
     void aRestoredRegistryDecidesAsTheFirst() {
         registry.announce(KNOWN);
+        registry.announce(instance("b", 2, 300, 1, false));
         registry.depart(new Departure("b", 300));
         InstanceRegistry restored = new InstanceRegistry();
-        restored.restore(registry.all(), registry.departures());
+        restored.announce(instance("z", 9, 100, 1, false));
+        restored.depart(new Departure("z", 100));
+        restored.restore(registry.all(), registry.departures(), registry.lostCopies());
 
         assertThat(restored.all()).containsExactly(KNOWN);
         assertThat(restored.judge(instance("b", 2, 300, 1, false))).isEqualTo(Verdict.OUTDATED);
+        assertThat(restored.lostCopies()).containsExactly(copy("b", 2, 300));
+    }
+
+    @Test
+    void aDatabaseThatStartsAgainUnderItsIdLeavesALostCopy() {
+        registry.announce(KNOWN);
+        registry.announce(instance("a", 1, 200, 1, false));
+
+        assertThat(registry.lostCopies()).containsExactly(copy("a", 1, 100));
+    }
+
+    @Test
+    void aDatabaseThatStartsAgainElsewhereLeavesItsLostCopyWhereItWas() {
+        registry.announce(KNOWN);
+        registry.announce(instance("b", 2, 150, 1, false));
+        registry.announce(instance("a", 2, 200, 1, false));
+
+        assertThat(registry.lostCopies())
+                .containsExactly(copy("a", 1, 100), copy("b", 2, 150))
+                .inOrder();
+    }
+
+    @Test
+    void aDatabaseWhoseAddressIsTakenLeavesALostCopy() {
+        registry.announce(KNOWN);
+        registry.announce(instance("b", 1, 200, 1, false));
+
+        assertThat(registry.lostCopies()).containsExactly(copy("a", 1, 100));
+    }
+
+    /** The departure may name a later birth than the one that is known. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 130})
+    void aDatabaseThatLeavesLeavesALostCopy(long departedMs) {
+        registry.announce(KNOWN);
+        registry.depart(new Departure("a", departedMs));
+
+        assertThat(registry.lostCopies()).containsExactly(copy("a", 1, 100));
+    }
+
+    @ParameterizedTest
+    @MethodSource("callsThatEndNothing")
+    void withoutAnEndNoCopyIsLost(String name, Consumer<InstanceRegistry> calls) {
+        registry.announce(KNOWN);
+        registry.announce(instance("b", 2, 100, 1, false));
+        registry.depart(new Departure("b", 100));
+        calls.accept(registry);
+
+        assertThat(registry.lostCopies()).containsExactly(copy("b", 2, 100));
+    }
+
+    static Stream<Arguments> callsThatEndNothing() {
+        return Stream.of(
+                endsNothing("a later sequence", known -> known.announce(instance("a", 1, 100, 8, false))),
+                endsNothing("a change", known -> known.announce(instance("a", 1, 100, 8, true))),
+                endsNothing("another address", known -> known.announce(instance("a", 3, 100, 8, false))),
+                endsNothing("an earlier birth", known -> known.announce(instance("a", 1, 50, 99, false))),
+                endsNothing("the address's earlier owner", known -> known.announce(instance("c", 1, 50, 9, false))),
+                endsNothing("a departed one", known -> known.announce(instance("b", 1, 100, 9, false))),
+                endsNothing("a late departure", known -> known.depart(new Departure("a", 99))),
+                endsNothing("a departure a second time", known -> known.depart(new Departure("b", 100))),
+                endsNothing("a departure of what is not known", known -> known.depart(new Departure("c", 100))));
+    }
+
+    /** Named by their birth, as a late announcement may bring an earlier one back for a while. */
+    @Test
+    void ofAllThatEndedAtAnAddressTheLatestIsKept() {
+        registry.announce(KNOWN);
+        registry.announce(instance("b", 1, 200, 1, false));
+        registry.announce(instance("b", 1, 300, 1, false));
+        assertThat(registry.lostCopies()).containsExactly(copy("b", 1, 200));
+
+        registry.depart(new Departure("b", 300));
+        registry.announce(instance("c", 1, 250, 1, false));
+        registry.depart(new Departure("c", 250));
+
+        assertThat(registry.lostCopies()).containsExactly(copy("b", 1, 300));
+    }
+
+    @Test
+    void servicesLoseTheirCopiesApart() {
+        Address address = KNOWN.address();
+        registry.announce(KNOWN);
+        registry.announce(new DatabaseInstance("b", "audit", address, "domain", 2, false, false, 200, 1));
+        registry.depart(new Departure("b", 200));
+
+        assertThat(registry.lostCopies())
+                .containsExactly(new LostCopy("audit", address, "b", 200), copy("a", 1, 100))
+                .inOrder();
+    }
+
+    @Test
+    void whatIsRecoveredIsDroppedUnlessALaterOneEndedThere() {
+        for (int port = 1; port <= 3; port++) {
+            registry.announce(instance("d" + port, port, 100, 1, false));
+            registry.announce(instance("d" + port, port, 200, 1, false));
+        }
+        List<LostCopy> recovered = List.of(copy("d1", 1, 100), copy("d2", 2, 100));
+        registry.depart(new Departure("d2", 200));
+        registry.recover(recovered);
+
+        assertThat(registry.lostCopies())
+                .containsExactly(copy("d2", 2, 200), copy("d3", 3, 100))
+                .inOrder();
+    }
+
+    private static Arguments endsNothing(String name, Consumer<InstanceRegistry> calls) {
+        return Arguments.of(name, calls);
+    }
+
+    private static LostCopy copy(String id, int port, long bornMs) {
+        return new LostCopy("ledger", new Address("10.0.0.1", port), id, bornMs);
     }
 
     private static DatabaseInstance instance(String id, int port, long bornMs, long sequence, boolean draining) {
--- a/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
@@ -4,6 +4,7 @@
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.InstanceRegistry.Departure;
+import org.hornbeamspread.core.route.LostCopy;
 import org.hornbeamspread.core.route.Route;
 import org.hornbeamspread.core.route.RouteConfiguration;
 import org.hornbeamspread.core.route.RouteKind;
@@ -11,6 +12,7 @@
 import org.hornbeamspread.protocol.schema.ControlState;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.InstanceDeparture;
+import org.hornbeamspread.protocol.schema.LostInstanceCopy;
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.RouteDefinition;
@@ -52,7 +54,7 @@
         return new DatabaseInstance(
                 wire.getInstanceId(),
                 wire.getService(),
-                new Address(wire.getEndpoint().getHost(), wire.getEndpoint().getPort()),
+                address(wire.getEndpoint()),
                 wire.getFailureDomain(),
                 wire.getSlots(),
                 wire.getDraining(),
@@ -89,11 +91,27 @@
                 .build();
     }
 
+    /** A lost copy from its wire form. */
+    public static LostCopy lostCopy(LostInstanceCopy wire) {
+        return new LostCopy(wire.getService(), address(wire.getEndpoint()), wire.getInstanceId(), wire.getBornMs());
+    }
+
+    /** The wire form of a lost copy. */
+    public static LostInstanceCopy wire(LostCopy copy) {
+        return LostInstanceCopy.newBuilder()
+                .setService(copy.service())
+                .setEndpoint(endpoint(copy.address()))
+                .setInstanceId(copy.instanceId())
+                .setBornMs(copy.bornMs())
+                .build();
+    }
+
     /** Has a registry hold what a control state does. */
     public static void restore(InstanceRegistry registry, ControlState state) {
         registry.restore(
                 state.getInstancesList().stream().map(RouteMessages::instance).toList(),
-                state.getDeparturesList().stream().map(RouteMessages::departure).toList());
+                state.getDeparturesList().stream().map(RouteMessages::departure).toList(),
+                state.getLostCopiesList().stream().map(RouteMessages::lostCopy).toList());
     }
 
     /** The wire form of an address. */
@@ -104,6 +122,10 @@
                 .build();
     }
 
+    private static Address address(Endpoint wire) {
+        return new Address(wire.getHost(), wire.getPort());
+    }
+
     private static Route route(RouteDefinition wire) {
         RouteKind kind = switch (wire.getKind()) {
             case ROUTE_KIND_BOUNDED_STALENESS -> RouteKind.BOUNDED_STALENESS;
