A silent database is not a departed one: it stays in the registry

What went wrong: after 12 s of silence the leader committed a departure, which is remembered. A replica that was only cut off from control could not announce itself any more with that birth, was missing in promotions, and might go on acknowledging commits for its primary.

The change: a silent database stays in the registry. HeardDatabases keeps when each was heard last, and the leader leaves silent replicas out of what it tells proxies, until they announce themselves; then proxies are told at once. Primaries, by their own word or promoted by control, are always told, and so are all databases of a service while a promotion of it goes on. WatchingProxies.publish takes the instances to tell. instance_silent is written once per silence, for silent primaries too, and instance_heard_again at its end. The limit of 12 s is unchanged.

Tests: RouteControlTest on the code before: aDatabaseThatWasOnlyCutOffIsToldToProxiesAgain (not told within 20 s) and aSilentDatabaseStaysInTheRegistry (not there) failed, aSilentPrimaryIsToldToProxies passed; all pass now. Not run: platform, proxy.

--- /dev/null
+++ b/control/src/main/java/org/hornbeamspread/control/routes/HeardDatabases.java
@@ -0,0 +1,99 @@
+package org.hornbeamspread.control.routes;
+
+import java.time.Clock;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.hornbeamspread.core.misc.EventLog;
+import org.hornbeamspread.core.route.DatabaseInstance;
+import org.hornbeamspread.protocol.schema.ControlState;
+import org.hornbeamspread.protocol.schema.GroupTerm;
+import org.hornbeamspread.protocol.schema.RegisteredInstance;
+
+/**
+ * When the leader heard each database last, and which of them it tells proxies of.
+ *
+ * <p>Silence is not a departure. A database that is cut off from control may still receive from its primary and acknowledge
+ * commits, so it stays in the registry, and counts in promotions. It is only left out of what proxies are told, until it
+ * announces itself again. Confined to the routes duty.
+ */
+final class HeardDatabases {
+    /** A database that has not announced itself for longer is silent. */
+    private static final long SILENCE_LIMIT_MS = 12_000;
+
+    private final Clock clock;
+    private final EventLog events;
+    private final Map<String, Long> heardAtMs = new HashMap<>();
+    private final Set<String> silentIds = new HashSet<>();
+
+    HeardDatabases(Clock clock, EventLog events) {
+        this.clock = clock;
+        this.events = events;
+    }
+
+    /** Forgets everything; what is known counts as heard now. */
+    void begin(Collection<DatabaseInstance> known) {
+        heardAtMs.clear();
+        silentIds.clear();
+        retain(known);
+    }
+
+    /** Forgets all but what is known; what is new counts as heard now. */
+    void retain(Collection<DatabaseInstance> known) {
+        Set<String> knownIds = known.stream().map(DatabaseInstance::instanceId).collect(Collectors.toUnmodifiableSet());
+        knownIds.forEach(id -> heardAtMs.putIfAbsent(id, clock.millis()));
+        heardAtMs.keySet().retainAll(knownIds);
+        silentIds.retainAll(knownIds);
+    }
+
+    /** A database announced itself. True when it was silent. */
+    boolean onAnnounced(String instanceId) {
+        long nowMs = clock.millis();
+        Long beforeMs = heardAtMs.put(instanceId, nowMs);
+        boolean wasSilent = silentIds.remove(instanceId);
+        if (wasSilent && beforeMs != null) {
+            events.record("instance_heard_again", "instance", instanceId, "silent_ms", nowMs - beforeMs);
+        }
+        return wasSilent;
+    }
+
+    /** Notes which of the known databases have become silent. */
+    void noteSilent(Collection<DatabaseInstance> known) {
+        long nowMs = clock.millis();
+        for (DatabaseInstance instance : known) {
+            String id = instance.instanceId();
+            if (nowMs - heardAtMs.getOrDefault(id, nowMs) > SILENCE_LIMIT_MS && silentIds.add(id)) {
+                events.record("instance_silent", "instance", id, "limit_ms", SILENCE_LIMIT_MS);
+            }
+        }
+    }
+
+    /**
+     * What proxies are told: all but silent replicas. Those are told too while a promotion of their service goes on, as one of
+     * them may be chosen.
+     *
+     * @param isSettled whether no promotion of a service goes on
+     */
+    List<RegisteredInstance> told(ControlState state, Predicate<String> isSettled) {
+        Set<String> promotedIds = state.getGroupsList().stream()
+                .filter(GroupTerm::getWritable)
+                .map(GroupTerm::getPrimaryId)
+                .collect(Collectors.toUnmodifiableSet());
+        return state.getInstancesList().stream()
+                .filter(instance -> !silentIds.contains(instance.getInstanceId())
+                        || instance.getPrimary()
+                        || promotedIds.contains(instance.getInstanceId())
+                        || !isSettled.test(instance.getService()))
+                .toList();
+    }
+
+    /** When each known database was heard last, by its id. */
+    Map<String, Long> heardAtMs() {
+        return heardAtMs;
+    }
+}
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
@@ -2,12 +2,9 @@
 
 import java.time.Clock;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -36,8 +33,8 @@
 import org.hornbeamspread.transport.RouteMessages;
 
 /**
- * What the leading control member does with routes and databases: it commits what is new, tells watching proxies, drops
- * databases that went silent, and drives the promotions of each service. On a member that does not lead every call fails with
+ * What the leading control member does with routes and databases: it commits what is new, tells watching proxies of
+ * the databases that it hears, and drives the promotions of each service. On a member that does not lead every call fails with
  * NOT_LEADER, whose detail names the leader's peer endpoint. All state belongs to one duty thread.
  */
 public final class RouteControl implements RouteOperations, AutoCloseable {
@@ -46,19 +43,14 @@
     /** Decides how soon a promotion's next step follows an answer that was lost. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
 
-    /** A database that has been silent for this long is dropped, unless it is its service's primary. */
-    private static final long SILENCE_LIMIT_MS = 12_000;
-
     private final ReplicatedLog log;
     private final Supplier<ControlState> published;
     private final Supplier<List<ControlMember>> members;
-    private final Clock clock;
     private final EventLog events;
     private final RouteMetrics metrics;
     private final DutyThread<Runnable> thread;
     private final InstanceRegistry registry = new InstanceRegistry();
-    private final Map<String, Long> heardAtMs = new HashMap<>();
-    private final Set<String> departing = new HashSet<>();
+    private final HeardDatabases heard;
     private final WatchingProxies watchers;
     private final ServicePromotions promotions;
     private ControlState seen = ControlState.getDefaultInstance();
@@ -85,9 +77,9 @@
         this.log = log;
         this.published = published;
         this.members = members;
-        this.clock = clock;
         this.events = events;
         this.thread = new DutyThread<>("routes", RING_EVENTS, Runnable::run, TICK_INTERVAL, this::tick);
+        this.heard = new HeardDatabases(clock, events);
         this.watchers = new WatchingProxies(clock, new ClockGuard(clock, timeOfDay));
         this.promotions = new ServicePromotions(
                 memberId, log, databases, orders, clock, events, metrics, thread::offer, watchers);
@@ -213,7 +205,9 @@
                     instance.sequence());
             return CompletableFuture.completedFuture(null);
         }
-        heardAtMs.put(instance.instanceId(), clock.millis());
+        if (heard.onAnnounced(instance.instanceId())) {
+            publish(published.get());
+        }
         if (verdict == Verdict.UNCHANGED) {
             return CompletableFuture.completedFuture(null);
         }
@@ -246,8 +240,7 @@
                 "self",
                 changed.isLeader());
         if (began) {
-            heardAtMs.clear();
-            registry.all().forEach(instance -> heardAtMs.put(instance.instanceId(), clock.millis()));
+            heard.begin(registry.all());
             watchers.begin(changed.term());
             promotions.begin();
         } else if (!changed.isLeader()) {
@@ -273,11 +266,14 @@
             metrics.onCommit("instances");
             events.record("instances_changed", "instances", state.getInstancesCount());
             recordChanges(known);
-            registry.all().forEach(instance -> heardAtMs.putIfAbsent(instance.instanceId(), clock.millis()));
-            heardAtMs.keySet().removeIf(id -> registry.find(id).isEmpty());
+            heard.retain(registry.all());
         }
         seen = state;
-        watchers.publish(state, members.get());
+        publish(state);
+    }
+
+    private void publish(ControlState state) {
+        watchers.publish(state, heard.told(state, promotions::isSettled), members.get());
     }
 
     /** One line for each instance that came, changed or is gone; by the leader only, whose decisions they explain. */
@@ -324,36 +320,11 @@
         if (!leadership.isLeader()) {
             return;
         }
-        watchers.publish(published.get(), members.get());
+        heard.noteSilent(registry.all());
+        publish(published.get());
         watchers.answerDue();
         metrics.onProxies(watchers.liveProxies());
-        dropSilent();
-        promotions.tick(published, registry, heardAtMs);
-    }
-
-    private void dropSilent() {
-        long nowMs = clock.millis();
-        List<Departure> silent = new ArrayList<>();
-        for (DatabaseInstance instance : registry.all()) {
-            long heardMs = heardAtMs.getOrDefault(instance.instanceId(), nowMs);
-            if (nowMs - heardMs > SILENCE_LIMIT_MS
-                    && !instance.primary()
-                    && promotions.isSettled(instance.service())
-                    && departing.add(instance.instanceId())) {
-                silent.add(new Departure(instance.instanceId(), instance.bornMs()));
-            }
-        }
-        if (silent.isEmpty()) {
-            return;
-        }
-        ChangeInstances.Builder change = ChangeInstances.newBuilder();
-        silent.forEach(departure -> {
-            events.record("instance_silent", "instance", departure.instanceId(), "limit_ms", SILENCE_LIMIT_MS);
-            change.addDeparted(RouteMessages.wire(departure));
-        });
-        commit(change.build())
-                .whenComplete((done, error) ->
-                        thread.offer(() -> silent.forEach(departure -> departing.remove(departure.instanceId()))));
+        promotions.tick(published, registry, heard.heardAtMs());
     }
 
     private void onWatch(WatchSystem request, Consumer<Envelope> answer) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -17,6 +17,7 @@
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
 import org.hornbeamspread.protocol.schema.PrimaryPosition;
 import org.hornbeamspread.protocol.schema.PromotedInstance;
+import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
 import org.hornbeamspread.transport.Envelopes;
@@ -112,13 +113,15 @@
         }
     }
 
-    /** Takes the state over; proxies are answered if it is news to them. */
-    void publish(ControlState next, List<ControlMember> members) {
+    /**
+     * Takes the state over; proxies are answered if it is news to them.
+     *
+     * @param told those of its instances that proxies are told of
+     */
+    void publish(ControlState next, List<RegisteredInstance> told, List<ControlMember> members) {
         state = next;
-        SystemUpdate.Builder update = SystemUpdate.newBuilder()
-                .setChanged(true)
-                .addAllInstances(next.getInstancesList())
-                .setProxies(liveProxies());
+        SystemUpdate.Builder update =
+                SystemUpdate.newBuilder().setChanged(true).addAllInstances(told).setProxies(liveProxies());
         members.stream()
                 .map(ControlMember::getPeer)
                 .filter(peer -> !peer.getHost().isEmpty())
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteControlTest.java
@@ -0,0 +1,120 @@
+package org.hornbeamspread.control.routes;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamspread.core.membership.Address;
+import org.hornbeamspread.core.misc.EventLog;
+import org.hornbeamspread.core.misc.PausedClock;
+import org.hornbeamspread.core.route.DatabaseInstance;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.RegisteredInstance;
+import org.hornbeamspread.protocol.schema.SystemUpdate;
+import org.hornbeamspread.protocol.schema.WatchSystem;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The leader's duty with a clock that stands still: a proxy's question is answered only when there is news for it. */
+final class RouteControlTest {
+    private static final long ANSWER_LIMIT_SECONDS = 20;
+    private static final Duration PAST_SILENCE = Duration.ofMillis(12_001);
+
+    private final PausedClock clock = new PausedClock();
+    private final ImmediateLog log = new ImmediateLog();
+    private final RouteControl control = new RouteControl(
+            "c1",
+            log,
+            log::state,
+            List::of,
+            new UnreachableDatabases(),
+            (service, instanceId, holder, token) -> CompletableFuture.completedFuture(false),
+            clock,
+            clock,
+            EventLog.NONE,
+            new RouteMetrics(new PrometheusRegistry()));
+    private SystemUpdate latest = SystemUpdate.getDefaultInstance();
+
+    @BeforeEach
+    void start() {
+        log.onApplied(control::onApplied);
+        control.start();
+    }
+
+    @AfterEach
+    void stop() {
+        control.close();
+    }
+
+    @Test
+    void aDatabaseThatWasOnlyCutOffIsToldToProxiesAgain() {
+        announce("r1", false, 1);
+        announce("r2", false, 1);
+        awaitTold("r1", "r2");
+        clock.advance(PAST_SILENCE);
+        awaitTold();
+
+        announce("r1", false, 2);
+        awaitTold("r1");
+        announce("r2", false, 2);
+        awaitTold("r1", "r2");
+    }
+
+    @Test
+    void aSilentDatabaseStaysInTheRegistry() {
+        announce("r1", false, 1);
+        awaitTold("r1");
+        clock.advance(PAST_SILENCE);
+        awaitTold();
+
+        assertThat(log.state().getInstancesList().stream().map(RegisteredInstance::getInstanceId))
+                .containsExactly("r1");
+        assertThat(log.state().getDeparturesList()).isEmpty();
+    }
+
+    @Test
+    void aSilentPrimaryIsToldToProxies() {
+        announce("p1", true, 1);
+        announce("r1", false, 1);
+        awaitTold("p1", "r1");
+        clock.advance(PAST_SILENCE);
+
+        awaitTold("p1");
+    }
+
+    private void announce(String id, boolean primary, long sequence) {
+        Address address = new Address("10.0.0.1", 5_000 + id.charAt(0) + id.charAt(1));
+        control.announce(new DatabaseInstance(id, "ledger", address, "domain", 2, false, primary, 100, sequence))
+                .orTimeout(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS)
+                .join();
+    }
+
+    /** Asks as a proxy does until it is told of exactly these. */
+    private void awaitTold(String... ids) {
+        do {
+            CompletableFuture<Envelope> answer = new CompletableFuture<>();
+            control.watch(
+                    WatchSystem.newBuilder()
+                            .setProxyId("proxy")
+                            .setLeaderTerm(latest.getLeaderTerm())
+                            .setSystemVersion(latest.getSystemVersion())
+                            .build(),
+                    answer::complete);
+            latest = answer.orTimeout(ANSWER_LIMIT_SECONDS, TimeUnit.SECONDS)
+                    .join()
+                    .getSystemUpdate();
+        } while (!told().equals(Set.of(ids)));
+    }
+
+    private Set<String> told() {
+        Set<String> ids = new TreeSet<>();
+        latest.getInstancesList().forEach(instance -> ids.add(instance.getInstanceId()));
+        return ids;
+    }
+}
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -32,7 +32,7 @@
     @BeforeEach
     void begin() {
         proxies.begin(3);
-        proxies.publish(SEVEN, List.of());
+        proxies.publish(SEVEN, List.of(), List.of());
     }
 
     @Test
@@ -47,7 +47,7 @@
     void aCurrentProxyIsAnsweredWhenThereIsNewsOrAfterAWhile() {
         proxies.add(current("p1").build(), answers::add);
         assertThat(answers).isEmpty();
-        proxies.publish(SEVEN, List.of());
+        proxies.publish(SEVEN, List.of(), List.of());
         assertThat(answers).hasSize(1);
 
         proxies.add(current("p1").setSystemVersion(last().getSystemVersion()).build(), answers::add);
