Proxies do not fall back to the primary before a promotion

Now control tells proxies of a choice once it is committed, before it is ordered, and a proxy that hears control uses no other instance than the promoted one while that is present. Red before: SessionEngineTest.thePrimaryBeforeAPromotionIsNotUsedWhileItsSuccessorTakesOver, WatchingProxiesTest.proxiesAreToldOfAChoiceOnceItIsCommitted.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -127,7 +127,8 @@
                 .filter(peer -> !peer.getHost().isEmpty())
                 .forEach(update::addControlPeers);
         for (GroupTerm group : next.getGroupsList()) {
-            if (group.getWritable()) {
+            // Known to proxies before it is ordered, so that nothing is acknowledged by the primary before it.
+            if (!group.getPrimaryId().isEmpty()) {
                 update.addPromoted(PromotedInstance.newBuilder()
                         .setService(group.getGroup())
                         .setInstanceId(group.getPrimaryId())
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -10,6 +10,7 @@
 import org.hornbeamspread.core.misc.PausedClock;
 import org.hornbeamspread.protocol.schema.ControlState;
 import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
@@ -60,6 +61,22 @@
         assertThat(last().hasConfiguration()).isFalse();
     }
 
+    /** Before its order: the primary before it may lead on until the order takes effect. */
+    @ParameterizedTest
+    @CsvSource({"'', false, 0", "b, false, 1", "b, true, 1"})
+    void proxiesAreToldOfAChoiceOnceItIsCommitted(String chosenId, boolean concluded, int told) {
+        GroupTerm group = GroupTerm.newBuilder()
+                .setGroup("ledger")
+                .setTerm(4)
+                .setPrimaryId(chosenId)
+                .setWritable(concluded)
+                .build();
+        proxies.publish(SEVEN.toBuilder().addGroups(group).build(), List.of(), List.of());
+        proxies.add(question("p1").build(), answers::add);
+
+        assertThat(last().getPromotedCount()).isEqualTo(told);
+    }
+
     @Test
     void aProxyThatWantsPositionsIsAnsweredAtOnceWithTheirAge() {
         proxies.onProof("ledger", "p", new LogPosition(2, 40), clock.millis(), proxies.epoch());
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/Placement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/Placement.java
@@ -196,7 +196,11 @@
         String service = unit.route.service();
         String provenId = service(service).provenId();
         Optional<DatabaseInstance> announced = view.primary(service).filter(this::mayLead);
+        // The primary before a promotion may lead on until it takes effect; what it acknowledged meanwhile would be
+        // lost.
+        boolean superseded = controlHeard && view.knowsPromoted(service);
         Optional<DatabaseInstance> proven = view.instances(service).stream()
+                .filter(instance -> !superseded)
                 .filter(instance -> instance.instanceId().equals(provenId))
                 .filter(this::mayLead)
                 .findFirst();
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemView.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemView.java
@@ -63,4 +63,11 @@
                                 !instance.instanceId().equals(promotedId))
                         .thenComparing(DatabaseInstance::draining));
     }
+
+    /** Whether control has promoted an instance that is present, so that no other may lead. */
+    public boolean knowsPromoted(String service) {
+        String promotedId = promotedIds.getOrDefault(service, "");
+        return instances(service).stream()
+                .anyMatch(instance -> instance.instanceId().equals(promotedId));
+    }
 }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -35,6 +35,7 @@
     final FakeDatabase far = new FakeDatabase("b", 3, executor);
     final List<FakeDatabase> databases = List.of(primary, near, far);
     final SessionEngine engine;
+    private SystemView loaded = SystemView.NONE;
 
     EngineHarness() {
         primary.primary = true;
@@ -74,7 +75,17 @@
                 version, routes, List.of(new RoutedService(FakeDatabase.SERVICE, maxConnections, 1)), 3_000);
         List<DatabaseInstance> instances =
                 databases.stream().map(FakeDatabase::instance).toList();
-        engine.onView(SystemView.of(configuration, instances, Map.of(), proxies));
+        loaded = SystemView.of(configuration, instances, Map.of(), proxies);
+        engine.onView(loaded);
+    }
+
+    /** Control tells that it has promoted a database. */
+    void promoted(FakeDatabase database) {
+        engine.onView(SystemView.of(
+                loaded.configuration(),
+                loaded.instances(),
+                Map.of(FakeDatabase.SERVICE, database.id),
+                loaded.proxies()));
     }
 
     void run(long forMs) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -404,6 +404,25 @@
         assertThat(harness.engine.isReady()).isTrue();
     }
 
+    /** Incident inc1 of ujaas-core: the primary before a promotion acknowledged commits that its successor did not have. */
+    @Test
+    void thePrimaryBeforeAPromotionIsNotUsedWhileItsSuccessorTakesOver() {
+        Client client = harness.open(EngineHarness.TOPUP).send("w1", new Write("item", "5"));
+        harness.run(100);
+        harness.promoted(harness.near);
+        client.send("w2", new Write("item", "6"));
+        harness.run(300);
+        assertThat(FakeDatabase.ids(harness.primary.runs)).containsExactly("w1");
+        assertThat(client.last().error()).hasValue(SqlError.BUSY);
+        harness.primary.primary = false;
+        harness.near.primary = true;
+        client.send("w3", new Write("item", "7"));
+        harness.run(200);
+
+        assertThat(client.last().isSuccess()).isTrue();
+        assertThat(FakeDatabase.ids(harness.near.runs)).containsExactly("w3");
+    }
+
     @Test
     void withoutControlAloneAProxyGoesOn() {
         harness.engine.onControlHeard(false);
