--- a/core/src/main/java/org/hornbeamspread/core/admission/RankScheduler.java
+++ b/core/src/main/java/org/hornbeamspread/core/admission/RankScheduler.java
@@ -132,6 +132,15 @@
         ended.rank().served(serviceNs, USAGE_WINDOW_NS);
     }
 
+    /** A request that was handed out has ended without being served, and its slot is free: its time says nothing of the database. */
+    public void abandon(SlotRequest request, Instant now) {
+        Running ended = running.remove(request.requestId());
+        if (ended != null) {
+            advance(now);
+            ended.rank().charge(-ended.chargedNs());
+        }
+    }
+
     @Override
     public List<SlotRequest> expired(Instant now) {
         takeOutLate(now);
--- a/core/src/main/java/org/hornbeamspread/core/placement/InstanceChoice.java
+++ b/core/src/main/java/org/hornbeamspread/core/placement/InstanceChoice.java
@@ -10,7 +10,8 @@
  * <p>The load that it answers: a burst of reads, three databases of which one is slow, lagging or far. A fixed order of
  * preference fills the nearest while others idle; a random one sends a share across the region link for nothing. Here
  * each candidate is charged its network time, the statements that wait or run there by way of this proxy, and what
- * statements took there of late. A candidate that is unlikely to hold the position that is asked for, or that refused of
+ * statements took there of late. One that owes answers and has given none for a while is charged that time once more: it may
+ * have gone dark, and what hangs there does not raise what statements took. A candidate that is unlikely to hold the position that is asked for, or that refused of
  * late, is charged what trying it in vain would cost.
  */
 public final class InstanceChoice {
@@ -24,14 +25,22 @@
      * @param serviceMs what a statement took there of late, with the database's own queue
      * @param outstanding statements of this proxy that wait or run there
      * @param parallel how many of them it runs at once
+     * @param silentMs for how long it has owed an answer without giving any
      * @param penaltyMs expected cost of a vain attempt
      */
     public record Candidate(
-            String instanceId, double roundTripMs, double serviceMs, int outstanding, int parallel, double penaltyMs) {
+            String instanceId,
+            double roundTripMs,
+            double serviceMs,
+            int outstanding,
+            int parallel,
+            long silentMs,
+            double penaltyMs) {
         /** When a statement sent now is expected to end. */
         double expectedMs() {
             double waitMs = serviceMs * Math.max(0, outstanding - parallel + 1) / Math.max(1, parallel);
-            return roundTripMs + serviceMs + waitMs + penaltyMs;
+            double darkMs = Math.max(0, silentMs - roundTripMs - serviceMs);
+            return roundTripMs + serviceMs + waitMs + darkMs + penaltyMs;
         }
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/admission/RankSchedulerTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/admission/RankSchedulerTest.java
@@ -59,6 +59,22 @@
                 .isEqualTo(FailureType.DEADLINE_BEFORE_START);
     }
 
+    /** Attempts to connect to an instance that is dark end without service; the queue is not longer for it afterwards. */
+    @Test
+    void whatEndedWithoutServiceDoesNotLengthenTheExpectedWait() {
+        for (int i = 0; i < 20; i++) {
+            SlotRequest hanging = offered("urgent", 1000);
+            assertThat(served()).isEqualTo(hanging);
+            clock.advance(Duration.ofMillis(500));
+            scheduler.abandon(hanging, clock.instant());
+        }
+        offered("urgent", 1000);
+        served();
+        offered("urgent", 1000);
+
+        assertThat(scheduler.offer(request("urgent", 50))).isEmpty();
+    }
+
     @Test
     void aFullQueueRefusesItsOwnRankOnly() {
         for (int i = 0; i < 3; i++) {
--- a/core/src/test/java/org/hornbeamspread/core/placement/InstanceChoiceTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/placement/InstanceChoiceTest.java
@@ -24,6 +24,8 @@
                 Arguments.of("a queue at the near one", near(10, 12, 0), far(10, 0), "far"),
                 Arguments.of("a short queue is no reason to cross regions", near(10, 4, 0), far(10, 0), "near"),
                 Arguments.of("the near one is slow", near(60, 0, 0), far(10, 0), "far"),
+                Arguments.of("the near one may have gone dark", silent(60), far(10, 0), "far"),
+                Arguments.of("the near one is at work", silent(20), far(10, 0), "near"),
                 Arguments.of("the near one lags", near(10, 0, 40), far(10, 0), "far"));
     }
 
@@ -59,14 +61,18 @@
     }
 
     private static Candidate candidate(String id, double roundTripMs, double serviceMs, int outstanding) {
-        return new Candidate(id, roundTripMs, serviceMs, outstanding, 2, 0);
+        return new Candidate(id, roundTripMs, serviceMs, outstanding, 2, 0, 0);
     }
 
     private static Candidate near(double serviceMs, int outstanding, double penaltyMs) {
-        return new Candidate("near", 0.5, serviceMs, outstanding, 2, penaltyMs);
+        return new Candidate("near", 0.5, serviceMs, outstanding, 2, 0, penaltyMs);
+    }
+
+    private static Candidate silent(long silentMs) {
+        return new Candidate("near", 0.5, 10, 0, 2, silentMs, 0);
     }
 
     private static Candidate far(double serviceMs, int outstanding) {
-        return new Candidate("far", 24, serviceMs, outstanding, 2, 0);
+        return new Candidate("far", 24, serviceMs, outstanding, 2, 0, 0);
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/hornbeamspread/core/placement/ReachabilityTest.java
@@ -0,0 +1,77 @@
+package org.hornbeamspread.core.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+final class ReachabilityTest {
+    private final Reachability reachability = new Reachability();
+
+    @Test
+    void silenceIsCountedFromTheLastAnswerAndOnlyWhileOneIsOwed() {
+        reachability.onAsked(1_000);
+        reachability.onAsked(1_010);
+        assertThat(reachability.silentMs(1_030)).isEqualTo(30);
+        reachability.onAnswered(1_040);
+        assertThat(reachability.silentMs(1_050)).isEqualTo(10);
+        reachability.onAnswered(1_060);
+        assertThat(reachability.silentMs(9_000)).isEqualTo(0);
+        reachability.onAsked(9_000);
+        assertThat(reachability.silentMs(9_001)).isEqualTo(1);
+    }
+
+    @Test
+    void anInstanceThatIsSilentForLongIsLostUntilAConnectionIsOpened() {
+        reachability.onAsked(0);
+        assertThat(reachability.isSilenceOver(400)).isFalse();
+        assertThat(reachability.isSilenceOver(401)).isTrue();
+        reachability.onFailed(401, 401);
+        assertThat(reachability.isReachable()).isFalse();
+        assertThat(reachability.isSilenceOver(402)).isFalse();
+        assertThat(reachability.isAttemptDue(500)).isFalse();
+        assertThat(reachability.isAttemptDue(501)).isTrue();
+        reachability.onAttempt();
+        assertThat(reachability.isAttemptDue(900)).isFalse();
+        reachability.onAttemptEnded();
+        assertThat(reachability.onReached(950)).isTrue();
+        assertThat(reachability.isReachable()).isTrue();
+        assertThat(reachability.onReached(960)).isFalse();
+    }
+
+    /** Four attempts that hang at the same time are one failure. */
+    @Test
+    void attemptsThatBeganBeforeTheFailureDoNotLengthenThePause() {
+        assertThat(reachability.onFailed(0, 500)).isTrue();
+        assertThat(reachability.onFailed(10, 510)).isFalse();
+        assertThat(reachability.onFailed(300, 800)).isFalse();
+        assertThat(reachability.pauseMs()).isEqualTo(100);
+        assertThat(reachability.onFailed(800, 1_300)).isTrue();
+        assertThat(reachability.pauseMs()).isEqualTo(200);
+    }
+
+    @Test
+    void anAttemptThatBeganBeforeTheInstanceWasReachedDoesNotMakeItLost() {
+        reachability.onFailed(0, 500);
+        reachability.onReached(620);
+
+        assertThat(reachability.onFailed(600, 1_100)).isFalse();
+        assertThat(reachability.isReachable()).isTrue();
+    }
+
+    @Test
+    void thePauseIsNeverLongerThanAnAttempt() {
+        for (int i = 0; i < 10; i++) {
+            reachability.onFailed(i * 1_000L, i * 1_000L + 500);
+        }
+        assertThat(reachability.pauseMs()).isEqualTo(500);
+    }
+
+    @Test
+    void aPauseOfThisProxyIsNotTheInstancesSilence() {
+        reachability.onAsked(0);
+        reachability.onOwnPause(5_000);
+
+        assertThat(reachability.isSilenceOver(5_300)).isFalse();
+        assertThat(reachability.isSilenceOver(5_401)).isTrue();
+    }
+}
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceLink.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceLink.java
@@ -1,12 +1,10 @@
 package org.hornbeamspread.proxy.session;
 
 import java.time.Clock;
-import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +16,6 @@
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.route.DatabaseInstance;
-import org.hornbeamspread.core.sql.SqlConnection;
 import org.hornbeamspread.core.sql.SqlConnector;
 
 /**
@@ -26,38 +23,29 @@
  * to its last; who gets the next one is decided by {@link RankScheduler}. Used on the engine's thread.
  */
 final class InstanceLink {
-    /** Four round trips between regions and a connection's set-up at a busy database. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-
-    private static final long FIRST_BACKOFF_MS = 100;
-    private static final long LAST_BACKOFF_MS = 1_000;
-
     /** How much of a new measurement goes into the running mean of service times. */
     private static final double SMOOTHING = 0.1;
 
     private static final double FIRST_SERVICE_MS = 10;
 
     private final DatabaseInstance instance;
-    private final SqlConnector connector;
     private final Clock clock;
-    private final EventLog events;
     private final BiConsumer<Unit, RetryReason> replace;
-    private final Deque<PooledConnection> idle = new ArrayDeque<>();
-    private final Map<Long, Unit> waiting = new HashMap<>();
+    private final LinkConnections connections;
+
+    /** Units by ticket: each stay of a unit at this link has a ticket of its own. */
+    private final Map<Long, Unit> waiting = new LinkedHashMap<>();
+
+    /** Units for which a connection is being opened. */
+    private final Map<Long, Unit> connecting = new LinkedHashMap<>();
+
     private final Map<Long, SlotRequest> running = new HashMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final StatementGate gate;
     private final RankScheduler scheduler;
-    private int limit;
-    private int connections;
+    private long nextTicket;
     private double serviceMs = FIRST_SERVICE_MS;
-    private long backoffMs;
-    private long unreachableUntilMs;
     private long laggingUntilMs;
-    private boolean closed;
-
-    /** Whether the last attempt to connect failed for another reason than the database's limit of connections. */
-    private boolean outOfReach;
 
     /**
      * A link without connections.
@@ -75,11 +63,9 @@
             EventLog events,
             BiConsumer<Unit, RetryReason> replace) {
         this.instance = instance;
-        this.connector = connector;
         this.clock = clock;
-        this.events = events;
         this.replace = replace;
-        this.limit = limit;
+        this.connections = new LinkConnections(instance, limit, connector, clock, events, this::onRoom);
         this.gate = new StatementGate(new AdaptiveLimit(instance.slots(), proxies));
         this.scheduler = new RankScheduler(limit, Ranks.settings(), clock.instant());
     }
@@ -102,11 +88,37 @@
     }
 
     boolean isOutOfReach() {
-        return outOfReach;
+        return connections.isOutOfReach();
     }
 
     boolean isReachable() {
-        return clock.millis() >= unreachableUntilMs;
+        return connections.isUsable();
+    }
+
+    /** For how long the instance has owed an answer without giving any. */
+    long silentMs() {
+        return connections.silentMs();
+    }
+
+    /** Whether {@link #check} has something to look for. */
+    boolean isWatched() {
+        return !waiting.isEmpty() || !running.isEmpty() || connections.isWatched();
+    }
+
+    /**
+     * Looks whether the instance has fallen silent or may be back, and takes out units that can't start in time any more.
+     *
+     * @param stoodStill whether this proxy itself did
+     */
+    void check(boolean stoodStill) {
+        if (stoodStill) {
+            connections.onOwnPause();
+        }
+        if (connections.isSilenceOver()) {
+            onSilent();
+        }
+        takeOutLate();
+        connections.check(!waiting.isEmpty());
     }
 
     /** How much longer the instance is expected to lack recent positions. */
@@ -125,23 +137,20 @@
 
     /** A question on an open connection had no answer: nothing idle is trusted any more, and reads are run elsewhere. */
     void onSilent() {
-        closeIdle();
+        connections.onSilent();
+        moveWaiting();
         List.copyOf(leases.values()).stream().filter(Lease::isRepeatable).forEach(Lease::discard);
-        onConnectFailed(new FailureException(FailureType.REQUEST_TIMEOUT, "silent connection"));
     }
 
     /** Takes new limits over; what runs keeps its connection. */
     void resize(int newLimit, int proxies) {
         gate.share(instance.slots(), proxies);
-        if (newLimit == limit) {
-            return;
-        }
-        limit = newLimit;
-        scheduler.resize(newLimit);
-        while (connections > limit && !idle.isEmpty()) {
-            connections--;
-            idle.removeLast().close();
-        }
+        connections.resize(newLimit);
+        onRoom();
+    }
+
+    private void onRoom() {
+        scheduler.resize(connections.room());
         startNext();
     }
 
@@ -151,58 +160,78 @@
         startNext();
     }
 
-    void giveBack(long unitId, PooledConnection connection, boolean reusable) {
-        leases.remove(unitId);
-        freeSlot(unitId);
-        if (reusable && connection.isOpen() && !closed && connections <= limit) {
-            idle.addFirst(connection);
+    void giveBack(long ticket, PooledConnection connection, boolean reusable) {
+        leases.remove(ticket);
+        freeSlot(ticket, reusable);
+        if (reusable) {
+            connections.keep(connection);
         } else {
-            connections--;
-            connection.close();
+            connections.discard(connection);
         }
         startNext();
     }
 
     /** Closes what is idle, and has every waiting unit placed elsewhere. What runs goes on. */
     void close() {
-        closed = true;
-        closeIdle();
+        connections.close();
         moveWaiting();
     }
 
-    private void closeIdle() {
-        idle.forEach(connection -> {
-            connections--;
-            connection.close();
-        });
-        idle.clear();
-    }
-
-    private void freeSlot(long unitId) {
-        SlotRequest request = running.remove(unitId);
-        if (request != null) {
+    private void freeSlot(long ticket, boolean served) {
+        SlotRequest request = running.remove(ticket);
+        if (request == null) {
+            return;
+        }
+        if (served) {
             scheduler.complete(request, clock.instant());
+        } else {
+            scheduler.abandon(request, clock.instant());
         }
     }
 
     private void offer(Unit unit) {
+        long ticket = nextTicket++;
         SlotRequest request = new SlotRequest(
-                unit.id, unit.rank(), clock.instant(), Instant.ofEpochMilli(Math.max(unit.startByMs, clock.millis())));
+                ticket,
+                unit.rank(),
+                clock.instant(),
+                Instant.ofEpochMilli(Math.max(unit.startByMs, clock.millis() + 1)));
         Optional<FailureException> refusal = scheduler.offer(request);
         if (refusal.isPresent()) {
             boolean full = refusal.get().type() == FailureType.QUEUE_FULL;
-            unit.refuse(full ? RefusalReason.QUEUE_FULL : RefusalReason.WAIT_TOO_LONG);
+            turnAway(unit, full ? RefusalReason.QUEUE_FULL : RefusalReason.WAIT_TOO_LONG);
             return;
         }
-        waiting.put(unit.id, unit);
+        waiting.put(ticket, unit);
         unit.cancellation = cancelled -> {
-            waiting.remove(cancelled.id);
+            waiting.remove(ticket);
             scheduler.cancel(request);
         };
     }
 
+    /** Another instance may have room for a read; what only this one can run is refused at once. */
+    private void turnAway(Unit unit, RefusalReason reason) {
+        if (unit.needsPrimary) {
+            unit.refuse(reason);
+            return;
+        }
+        unit.tried.add(instance.instanceId());
+        unit.queueRefusal = reason;
+        replace.accept(unit, RetryReason.WAIT_TOO_LONG);
+    }
+
+    private void takeOutLate() {
+        for (SlotRequest late : scheduler.expired(clock.instant())) {
+            Unit unit = waiting.remove(late.requestId());
+            if (unit != null) {
+                unit.cancellation = null;
+                turnAway(unit, RefusalReason.WAIT_TOO_LONG);
+            }
+        }
+    }
+
     private void startNext() {
-        while (true) {
+        while (isReachable()) {
             Optional<SlotRequest> next = scheduler.poll(clock.instant());
             if (next.isEmpty()) {
                 return;
@@ -213,41 +242,24 @@
                 continue;
             }
             unit.cancellation = null;
-            running.put(unit.id, next.get());
-            start(unit);
+            running.put(next.get().requestId(), next.get());
+            start(next.get().requestId(), unit);
         }
     }
 
-    private void start(Unit unit) {
-        PooledConnection connection = takeIdle(unit);
+    private void start(long ticket, Unit unit) {
+        PooledConnection connection = connections.takeIdle(unit.values);
         if (connection != null) {
-            hand(unit, connection);
+            hand(ticket, unit, connection);
             return;
         }
-        connections++;
-        connector.connect(instance, CONNECT_TIMEOUT).whenComplete((opened, error) -> onConnected(unit, opened, error));
-    }
-
-    private PooledConnection takeIdle(Unit unit) {
-        idle.removeIf(connection -> {
-            boolean dead = !connection.isOpen();
-            if (dead) {
-                connections--;
-            }
-            return dead;
-        });
-        for (PooledConnection connection : idle) {
-            if (connection.holds(unit.values)) {
-                idle.remove(connection);
-                return connection;
-            }
-        }
-        return idle.pollFirst();
+        connecting.put(ticket, unit);
+        connections.open((opened, error) -> onConnected(ticket, opened, error));
     }
 
-    private void hand(Unit unit, PooledConnection connection) {
-        Lease lease = new Lease(this, unit.id, connection);
-        leases.put(unit.id, lease);
+    private void hand(long ticket, Unit unit, PooledConnection connection) {
+        Lease lease = new Lease(this, ticket, connection);
+        leases.put(ticket, lease);
         if (unit.ended) {
             lease.release();
         } else {
@@ -255,49 +267,44 @@
         }
     }
 
-    private void onConnected(Unit unit, SqlConnection opened, Throwable error) {
+    private void onConnected(long ticket, PooledConnection opened, Throwable error) {
+        Unit unit = connecting.remove(ticket);
+        if (error == null && unit != null) {
+            scheduler.resize(connections.room());
+            hand(ticket, unit, opened);
+            return;
+        }
+        freeSlot(ticket, false);
         if (error == null) {
-            if (backoffMs > 0) {
-                events.record("database_regained", "instance", instance.instanceId());
+            connections.keep(opened);
+        }
+        scheduler.resize(connections.room());
+        if (error != null && unit != null) {
+            if (!isReachable()) {
+                unit.tried.add(instance.instanceId());
             }
-            backoffMs = 0;
-            outOfReach = false;
-            hand(unit, new PooledConnection(opened));
-            return;
+            replace.accept(unit, RetryReason.CONNECT_FAILED);
+        }
+        if (isReachable()) {
+            startNext();
+        } else {
+            moveWaiting();
         }
-        connections--;
-        freeSlot(unit.id);
-        onConnectFailed(FailureException.of(error));
-        unit.tried.add(instance.instanceId());
-        replace.accept(unit, RetryReason.CONNECT_FAILED);
-        moveWaiting();
-    }
-
-    private void onConnectFailed(FailureException failure) {
-        boolean full = failure.type() == FailureType.CONNECTION_LIMIT;
-        outOfReach = !full;
-        backoffMs = Math.min(LAST_BACKOFF_MS, Math.max(FIRST_BACKOFF_MS, backoffMs * 2));
-        unreachableUntilMs = clock.millis() + backoffMs;
-        events.record(
-                full ? "database_connection_limit" : "database_lost",
-                "instance",
-                instance.instanceId(),
-                "address",
-                instance.address(),
-                "connections",
-                connections,
-                "backoff_ms",
-                backoffMs,
-                "cause",
-                failure.getMessage());
     }
 
+    /** Has everything that waits, for its turn or for a connection, placed elsewhere. */
     private void moveWaiting() {
-        List<Unit> moved = new ArrayList<>(waiting.values());
-        moved.forEach(unit -> {
+        List<Unit> moved = new ArrayList<>(connecting.values());
+        connecting.clear();
+        List<Unit> queued = List.copyOf(waiting.values());
+        queued.forEach(unit -> {
             unit.cancellation.accept(unit);
             unit.cancellation = null;
         });
-        moved.forEach(unit -> replace.accept(unit, RetryReason.CONNECT_FAILED));
+        moved.addAll(queued);
+        moved.forEach(unit -> {
+            unit.tried.add(instance.instanceId());
+            replace.accept(unit, RetryReason.CONNECT_FAILED);
+        });
     }
 }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/Lease.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/Lease.java
@@ -5,14 +5,14 @@
 /** A connection that one statement or one transaction has for itself. */
 final class Lease {
     private final InstanceLink link;
-    private final long unitId;
+    private final long ticket;
     private final PooledConnection connection;
     private boolean released;
     private boolean repeatable;
 
-    Lease(InstanceLink link, long unitId, PooledConnection connection) {
+    Lease(InstanceLink link, long ticket, PooledConnection connection) {
         this.link = link;
-        this.unitId = unitId;
+        this.ticket = ticket;
         this.connection = connection;
     }
 
@@ -28,9 +28,9 @@
         return connection;
     }
 
-    /** What runs on it may be run again elsewhere. */
-    void markRepeatable() {
-        repeatable = true;
+    /** Whether what runs on it may be run again elsewhere. */
+    void setRepeatable(boolean mayRunAgain) {
+        repeatable = mayRunAgain;
     }
 
     boolean isRepeatable() {
@@ -50,7 +50,7 @@
     private void end(boolean reusable) {
         if (!released) {
             released = true;
-            link.giveBack(unitId, connection, reusable);
+            link.giveBack(ticket, connection, reusable);
         }
     }
 }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/Placement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/Placement.java
@@ -45,6 +45,12 @@
     /** A promoted instance begins to lead some hundred ms after the order. */
     private static final long NOT_PRIMARY_PAUSE_MS = 60;
 
+    /** Between two looks for silent instances and for units that can't start in time any more. */
+    private static final long CHECK_MS = 50;
+
+    /** A look that comes so much later than planned shows that this proxy itself stood still. */
+    private static final long OWN_PAUSE_MS = 150;
+
     private static final int MAX_ATTEMPTS = 6;
 
     /** A departing primary without a successor serves until shortly before the limit for new work. */
@@ -72,6 +78,8 @@
     private final Deque<Unit> parked = new ArrayDeque<>();
     private SystemView view = SystemView.NONE;
     private boolean retryScheduled;
+    private boolean checkScheduled;
+    private long checkedMs;
     private boolean controlHeard = true;
     private PrimaryProbe probe;
 
@@ -187,6 +195,7 @@
         Optional<InstanceLink> link = unit.needsPrimary ? primaryLink(unit) : readLink(unit);
         if (link.isPresent()) {
             link.get().acquire(unit);
+            scheduleCheck();
         } else if (!unit.ended) {
             park(unit);
         }
@@ -278,6 +287,9 @@
                 }
             }
         }
+        if (candidates.isEmpty() && unit.queueRefusal != null) {
+            unit.refuse(unit.queueRefusal);
+        }
         return InstanceChoice.best(candidates).map(best -> links.get(best.instanceId()));
     }
 
@@ -288,6 +300,7 @@
                 link.serviceMs(),
                 link.outstanding(),
                 link.gate().parallel(),
+                link.silentMs(),
                 link.laggingForMs() > 0 ? link.serviceMs() + OTHER_REGION_RTT_MS : 0);
     }
 
@@ -316,8 +329,26 @@
         return Math.max(1, (most - RESERVED_CONNECTIONS) / Math.max(1, view.proxies()));
     }
 
+    private void scheduleCheck() {
+        if (!checkScheduled) {
+            checkScheduled = true;
+            checkedMs = clock.millis();
+            loop.schedule(this::check, CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void check() {
+        checkScheduled = false;
+        boolean stoodStill = clock.millis() - checkedMs > CHECK_MS + OWN_PAUSE_MS;
+        List.copyOf(links.values()).forEach(link -> link.check(stoodStill));
+        if (links.values().stream().anyMatch(InstanceLink::isWatched)) {
+            scheduleCheck();
+        }
+    }
+
     private void park(Unit unit) {
         unit.tried.clear();
+        unit.queueRefusal = null;
         if (clock.millis() >= unit.startByMs) {
             unit.refuse(unit.needsPrimary ? RefusalReason.NO_PRIMARY : RefusalReason.NO_RECENT_POSITION);
             return;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
@@ -1,5 +1,6 @@
 package org.hornbeamspread.proxy.session;
 
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.placement.Reachability;
 import org.hornbeamspread.core.sql.SqlConnection;
 import org.hornbeamspread.core.sql.SqlRequest;
 import org.hornbeamspread.core.sql.SqlResult;
@@ -22,11 +24,25 @@
     private static final int MAX_PREPARED = 256;
 
     private final SqlConnection connection;
+    private final Reachability reachability;
+    private final Clock clock;
+    private long idleSinceMs;
     private final Map<String, String> values = new TreeMap<>();
     private final Set<PreparedShape> prepared = new HashSet<>();
 
-    PooledConnection(SqlConnection connection) {
+    PooledConnection(SqlConnection connection, Reachability reachability, Clock clock) {
         this.connection = connection;
+        this.reachability = reachability;
+        this.clock = clock;
+    }
+
+    /** Nobody uses it from now on. */
+    void onIdle() {
+        idleSinceMs = clock.millis();
+    }
+
+    long idleSinceMs() {
+        return idleSinceMs;
     }
 
     boolean isOpen() {
@@ -67,6 +83,17 @@
     }
 
     List<CompletableFuture<SqlResult>> send(List<SqlRequest> requests) {
-        return connection.send(requests);
+        List<CompletableFuture<SqlResult>> results = connection.send(requests);
+        for (CompletableFuture<SqlResult> result : results) {
+            reachability.onAsked(clock.millis());
+            result.whenComplete((answer, error) -> {
+                if (error == null) {
+                    reachability.onAnswered(clock.millis());
+                } else {
+                    reachability.onGivenUp();
+                }
+            });
+        }
+        return results;
     }
 }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/RetryReason.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/RetryReason.java
@@ -15,7 +15,9 @@
     /** The connection broke. */
     CONNECTION_LOST,
     /** No connection could be opened. */
-    CONNECT_FAILED;
+    CONNECT_FAILED,
+    /** The wait there is too long, and another instance may have room. */
+    WAIT_TOO_LONG;
 
     static RetryReason of(SqlError error) {
         return switch (error) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -152,6 +152,7 @@
             lease = Optional.of(granted);
             sentMs = context.nowMs();
             sentEpoch = context.epoch();
+            granted.setRepeatable(true);
             boolean plain = unit.after.isEmpty();
             SqlRequest begin = SqlRequest.own(new SqlStatement.Begin(!plain));
             granted.connection()
@@ -163,6 +164,7 @@
         private void onBegun(Lease granted, boolean plain, SqlResult result, Throwable error) {
             if (error == null && result.isSuccess()) {
                 begun = true;
+                granted.setRepeatable(false);
                 if (plain) {
                     onProof(granted, result);
                 }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SingleStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SingleStatement.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.Route;
 import org.hornbeamspread.core.route.RouteKind;
@@ -86,7 +87,7 @@
         }
         lease = Optional.of(granted);
         if (!isWrite()) {
-            granted.markRepeatable();
+            granted.setRepeatable(true);
         }
         sentMs = context.nowMs();
         sentEpoch = context.epoch();
@@ -140,6 +141,12 @@
             granted.discard();
             return false;
         }
+        if (isWrite() && !granted.link().isReachable()) {
+            granted.discard();
+            lease = Optional.empty();
+            onLost(granted.instance().instanceId(), new FailureException(FailureType.CONNECTION_LOST, "silent"));
+            return false;
+        }
         sent = granted.connection().isOpen();
         sentMs = context.nowMs();
         sentEpoch = context.epoch();
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/Unit.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/Unit.java
@@ -35,6 +35,9 @@
     /** What the database's log must hold; absent where the primary proves itself instead. */
     Optional<LogPosition> after = Optional.empty();
 
+    /** Why the last instance with room for no more refused it; null when none did. */
+    RefusalReason queueRefusal;
+
     int attempts;
     boolean ended;
 
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -41,7 +41,7 @@
         SqlConnector connector = new SqlConnector() {
             @Override
             public CompletableFuture<SqlConnection> connect(DatabaseInstance instance, Duration timeout) {
-                return database(instance.instanceId()).connect();
+                return database(instance.instanceId()).connect(timeout);
             }
         };
         engine = new SessionEngine(
@@ -90,19 +90,31 @@
     }
 
     Client open(String database) {
-        Client client = new Client();
+        Client client = new Client(clock);
         engine.open(database, client, session -> client.session = Optional.of(session));
         return client;
     }
 
     /** A client that keeps what it is told. */
     static final class Client implements ClientPort {
+        private final PausedClock clock;
+        private long sentMs;
+        private long repliedMs;
         final List<SqlResult> replies = new ArrayList<>();
         Optional<ClientSession> session = Optional.empty();
         Optional<SqlError> refusal = Optional.empty();
         boolean accepted;
         boolean closed;
 
+        Client(PausedClock clock) {
+            this.clock = clock;
+        }
+
+        /** From the last request to the last reply; without end while that is missing. */
+        long waitedMs() {
+            return repliedMs < sentMs ? Long.MAX_VALUE : repliedMs - sentMs;
+        }
+
         @Override
         public void accept() {
             accepted = true;
@@ -115,6 +127,7 @@
 
         @Override
         public void reply(SqlResult result) {
+            repliedMs = clock.millis();
             replies.add(result);
         }
 
@@ -124,6 +137,8 @@
         }
 
         Client send(String id, SqlStatement statement) {
+            sentMs = clock.millis();
+            repliedMs = -1;
             session.orElseThrow().onRequest(new SqlRequest(id, Optional.empty(), statement));
             return this;
         }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
@@ -1,5 +1,6 @@
 package org.hornbeamspread.proxy.session;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -33,6 +34,10 @@
     boolean primary;
     boolean reachable = true;
     boolean silent;
+
+    /** Answers nothing, not even attempts to connect. */
+    boolean dark;
+
     long entries = 10;
     int connectionLimit = Integer.MAX_VALUE;
     long workMs = 10;
@@ -71,8 +76,17 @@
                 id, SERVICE, new Address("10.0.0.1", port), "domain-" + port, 2, false, primary, 1, 1);
     }
 
-    CompletableFuture<SqlConnection> connect() {
+    CompletableFuture<SqlConnection> connect(Duration timeout) {
         CompletableFuture<SqlConnection> result = new CompletableFuture<>();
+        if (dark) {
+            executor.schedule(
+                    () -> {
+                        result.completeExceptionally(new FailureException(FailureType.REQUEST_TIMEOUT, id));
+                    },
+                    timeout.toMillis(),
+                    TimeUnit.MILLISECONDS);
+            return result;
+        }
         executor.schedule(
                 () -> {
                     if (!reachable) {
@@ -146,7 +160,7 @@
         }
 
         private void answer(SqlRequest request, CompletableFuture<SqlResult> result) {
-            dead |= silent;
+            dead |= silent || dark;
             if (closed || dead) {
                 return;
             }
