Proxies keep away from the primary before a promotion while another token is sought

Found by review: a raised token cleared the choice, and proxies went back to the old primary while the order of the earlier choice could still take effect. Now the last choice without an end is told. Case added to proxiesAreToldOfAChoiceOnceItIsCommitted (red before: the field was not read).

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -127,13 +127,11 @@
                 .filter(peer -> !peer.getHost().isEmpty())
                 .forEach(update::addControlPeers);
         for (GroupTerm group : next.getGroupsList()) {
-            // Known to proxies before it is ordered, so that nothing is acknowledged by the primary before it.
-            if (!group.getPrimaryId().isEmpty()) {
-                update.addPromoted(PromotedInstance.newBuilder()
-                        .setService(group.getGroup())
-                        .setInstanceId(group.getPrimaryId())
-                        .setFencingToken(group.getTerm()));
-            }
+            promotedId(group)
+                    .ifPresent(id -> update.addPromoted(PromotedInstance.newBuilder()
+                            .setService(group.getGroup())
+                            .setInstanceId(id)
+                            .setFencingToken(group.getTerm())));
         }
         SystemUpdate built = update.build();
         if (!built.equals(latest)) {
@@ -145,6 +143,16 @@
                 .forEach(this::answer);
     }
 
+    /**
+     * The instance that was chosen last, also before its order and while another is sought: nothing may be acknowledged by the primary
+     * before it.
+     */
+    private static Optional<String> promotedId(GroupTerm group) {
+        return Optional.of(group.getPrimaryId())
+                .filter(id -> !id.isEmpty())
+                .or(() -> group.getUnsettledIdsList().stream().findFirst());
+    }
+
     /** Answers the questions that have been held long enough, and forgets proxies that are gone. */
     void answerDue() {
         long nowMs = clock.millis();
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -63,13 +63,14 @@
 
     /** Before its order: the primary before it may lead on until the order takes effect. */
     @ParameterizedTest
-    @CsvSource({"'', false, 0", "b, false, 1", "b, true, 1"})
-    void proxiesAreToldOfAChoiceOnceItIsCommitted(String chosenId, boolean concluded, int told) {
+    @CsvSource({"'', '', false, 0", "b, '', false, 1", "b, '', true, 1", "'', b, false, 1"})
+    void proxiesAreToldOfAChoiceOnceItIsCommitted(String chosenId, String unsettledId, boolean concluded, int told) {
         GroupTerm group = GroupTerm.newBuilder()
                 .setGroup("ledger")
                 .setTerm(4)
                 .setPrimaryId(chosenId)
                 .setWritable(concluded)
+                .addAllUnsettledIds(unsettledId.isEmpty() ? List.of() : List.of(unsettledId))
                 .build();
         proxies.publish(SEVEN.toBuilder().addGroups(group).build(), List.of(), List.of());
         proxies.add(question("p1").build(), answers::add);
