--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -85,14 +85,20 @@
     }
 
     void begin() {
-        groups.clear();
+        dropGroups();
     }
 
     void end() {
-        groups.clear();
+        dropGroups();
         databases.retain(List.of());
     }
 
+    /** Answers to what a group has asked may still come; it decides nothing by them any more. */
+    private void dropGroups() {
+        groups.values().forEach(group -> group.ended = true);
+        groups.clear();
+    }
+
     boolean isSettled(String service) {
         Group group = groups.get(service);
         return group == null || group.settled;
@@ -105,13 +111,7 @@
         groups.keySet().retainAll(services);
         for (String service : services) {
             Group group = groups.computeIfAbsent(service, name -> new Group(name));
-            List<DatabaseInstance> members = registry.all().stream()
-                    .filter(instance -> instance.service().equals(service))
-                    .toList();
-            List<LostCopy> lostCopies = registry.lostCopies().stream()
-                    .filter(copy -> copy.service().equals(service))
-                    .toList();
-            group.tick(state, members, lostCopies, heardAtMs);
+            group.tick(state, registry, heardAtMs);
         }
     }
 
@@ -133,34 +133,60 @@
 
         private long concludedAtMs = Long.MIN_VALUE / 2;
         private long provenAtMs = Long.MIN_VALUE / 4;
+
+        /** The instance that the proof is of. */
+        private String provenId = "";
+
         private boolean settled = true;
+        private boolean ended;
         private Map<String, Long> heardAtMs = Map.of();
 
         /** Empty when none was, or a promotion is under way. */
         private String promotedId = "";
 
         private Supplier<Situation> situation = () -> new Situation(
-                0, Optional.empty(), Set.of(), true, List.of(), List.of(), Optional.empty(), 0, 0, false, false);
+                0,
+                Optional.empty(),
+                Set.of(),
+                true,
+                List.of(),
+                List.of(),
+                List.of(),
+                Optional.empty(),
+                0,
+                0,
+                false,
+                false);
 
         Group(String service) {
             this.service = service;
         }
 
-        void tick(
-                Supplier<ControlState> state,
-                List<DatabaseInstance> present,
-                List<LostCopy> lost,
-                Map<String, Long> heard) {
-            members = present;
-            lostCopies = lost;
+        void tick(Supplier<ControlState> state, InstanceRegistry registry, Map<String, Long> heard) {
             heardAtMs = heard;
+            situation = () -> {
+                look(registry);
+                return situation(state.get());
+            };
+            look(registry);
             askForProof(clock.millis());
-            situation = () -> situation(state.get());
             step();
         }
 
+        private void look(InstanceRegistry registry) {
+            members = registry.all().stream()
+                    .filter(instance -> instance.service().equals(service))
+                    .toList();
+            lostCopies = registry.lostCopies().stream()
+                    .filter(copy -> copy.service().equals(service))
+                    .toList();
+        }
+
         /** Goes on as far as is known now. */
         private void step() {
+            if (ended) {
+                return;
+            }
             Situation present = situation.get();
             for (SyncFailoverEffect effect : failover.step(present)) {
                 carryOut(effect, present);
@@ -204,8 +230,10 @@
                             lostCopies.stream().anyMatch(copy -> copy.address().equals(member.address()))))
                     .toList();
             Optional<String> primaryId = primary().map(DatabaseInstance::instanceId);
+            boolean provenItself = primaryId.equals(Optional.of(provenId));
             long proofAgeMs = Math.min(
-                    nowMs - provenAtMs, primaryId.map(watchers::proofAgeMs).orElse(Long.MAX_VALUE / 4));
+                    provenItself ? nowMs - provenAtMs : Long.MAX_VALUE / 4,
+                    primaryId.map(watchers::proofAgeMs).orElse(Long.MAX_VALUE / 4));
             return new Situation(
                     record.getTerm(),
                     record.getPrimaryId().isEmpty() ? Optional.empty() : Optional.of(record.getPrimaryId()),
@@ -213,6 +241,10 @@
                     record.getWritable(),
                     views,
                     lostCopies,
+                    lostCopies.stream()
+                            .filter(copy -> members.stream()
+                                    .noneMatch(member -> member.address().equals(copy.address())))
+                            .toList(),
                     proof,
                     proofAgeMs,
                     primaryId.map(watchers::stalledWriteMs).orElse(0L),
@@ -249,7 +281,8 @@
                                 error != null && FailureException.of(error).type() == FailureType.CONNECTION_REFUSED;
                         refusals = refused ? refusals + 1 : 0;
                         if (error == null && position.isPresent()) {
-                            provenAtMs = Math.max(provenAtMs, nowMs);
+                            provenAtMs = provenId.equals(instanceId) ? Math.max(provenAtMs, nowMs) : nowMs;
+                            provenId = instanceId;
                             proof = Optional.of(new PrimaryProof(position.get(), nowMs));
                             watchers.onProof(service, instanceId, position.get(), nowMs, epoch);
                         }
@@ -303,18 +336,20 @@
                             .setSetGroupTerms(SetGroupTerms.newBuilder().addGroups(next))
                             .build())
                     .whenComplete((result, error) -> duty.accept(() -> {
-                        if (error != null) {
-                            events.record(
-                                    "promotion_commit_failed",
-                                    "service",
-                                    service,
-                                    "token",
-                                    token,
-                                    "cause",
-                                    FailureException.of(error).getMessage());
+                        Optional<FailureException> failure =
+                                error != null ? Optional.of(FailureException.of(error)) : result.failure();
+                        failure.ifPresent(cause -> events.record(
+                                "promotion_commit_failed",
+                                "service",
+                                service,
+                                "token",
+                                token,
+                                "cause",
+                                cause.getMessage()));
+                        failover.logDone(failure.isEmpty());
+                        if (failure.isEmpty()) {
+                            step();
                         }
-                        failover.logDone();
-                        step();
                     }));
         }
 
@@ -403,6 +438,8 @@
                         if (error == null) {
                             report.accept(instanceId, status);
                             step();
+                        } else if (FailureException.of(error).type() == FailureType.CONNECTION_REFUSED) {
+                            failover.onRefused(instanceId);
                         }
                     }));
         }
--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
@@ -20,15 +20,20 @@
  * does again once another replica has received the position that the primary had after the loss. Confined to one thread.
  */
 final class ReplicaCoverage {
-    /** A database that announced its departure may acknowledge until its process has ended. */
-    private static final long DEPARTURE_MS = 250;
+    /** A database that announced its departure acknowledges until its process ends: it may wait a second for an answer, and ask again. */
+    private static final long DEPARTURE_MS = 2_000;
 
     private final Clock clock;
     private final SyncFailoverTimings timings;
 
-    /** When each copy was first seen as lost. */
+    /** From when each lost copy surely acknowledges nothing. */
     private final Map<LostCopy, Long> lostAtMs = new HashMap<>();
 
+    /** Since when connections to a member are refused without an answer or an announcement from it. */
+    private final Map<String, Long> refusedSinceMs = new HashMap<>();
+
+    private final Map<String, Long> refusedAtMs = new HashMap<>();
+
     /** What a replica has yet to receive. */
     private Optional<PrimaryProof> target = Optional.empty();
 
@@ -41,9 +46,26 @@
     }
 
     /** Takes over what is lost at present. */
-    void observe(Collection<LostCopy> lost) {
-        lostAtMs.keySet().retainAll(lost);
-        lost.forEach(copy -> lostAtMs.putIfAbsent(copy, clock.millis()));
+    void observe(Situation situation) {
+        lostAtMs.keySet().retainAll(situation.lostCopies());
+        for (LostCopy copy : situation.lostCopies()) {
+            long endsInMs = situation.departedCopies().contains(copy) ? DEPARTURE_MS : 0;
+            lostAtMs.putIfAbsent(copy, clock.millis() + endsInMs);
+        }
+        situation.members().stream()
+                .filter(member -> !isSilent(member))
+                .forEach(member -> onAnswered(member.instanceId()));
+    }
+
+    /** A member's address refused a connection: its process has ended. */
+    void onRefused(String instanceId) {
+        refusedSinceMs.putIfAbsent(instanceId, clock.millis());
+        refusedAtMs.put(instanceId, clock.millis());
+    }
+
+    void onAnswered(String instanceId) {
+        refusedSinceMs.remove(instanceId);
+        refusedAtMs.remove(instanceId);
     }
 
     /** Whether there is anything to find out now. */
@@ -69,7 +91,7 @@
     List<LostCopy> recovered() {
         List<LostCopy> recovered = new ArrayList<>();
         lostAtMs.forEach((copy, atMs) -> {
-            if (coveredAtMs > atMs + DEPARTURE_MS) {
+            if (coveredAtMs > atMs) {
                 recovered.add(copy);
             }
         });
@@ -77,19 +99,19 @@
     }
 
     /**
-     * Whether a member need not be fenced: it has been silent for long, and all that was acknowledged until shortly before the
-     * primary was lost is held without it.
-     *
-     * @param provenAtMs when the primary last proved to lead
+     * Whether a member need not be fenced: its process has ended, and all that it may have acknowledged is held without it. Silence alone
+     * does not show that, since a database that control does not reach may go on acknowledging.
      */
-    boolean isDispensable(MemberView member, long provenAtMs) {
+    boolean isDispensable(MemberView member) {
+        Long sinceMs = refusedSinceMs.get(member.instanceId());
         return isSilent(member)
-                && coveredAtMs > clock.millis() - member.silentMs()
-                && provenAtMs - coveredAtMs <= 2 * timings.coverageMs();
+                && sinceMs != null
+                && sinceMs < coveredAtMs
+                && clock.millis() - refusedAtMs.get(member.instanceId()) <= 2 * timings.coverageMs();
     }
 
-    private boolean isSilent(MemberView member) {
-        return !member.primary() && member.silentMs() > timings.silenceMs();
+    boolean isSilent(MemberView member) {
+        return member.silentMs() > timings.silenceMs();
     }
 
     private long latestLossMs() {
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -77,6 +77,7 @@
     private boolean replacesLivePrimary;
 
     private boolean logPending;
+    private boolean raisePending;
     private boolean ordered;
     private Optional<Boolean> orderAnswer = Optional.empty();
 
@@ -122,6 +123,7 @@
      * @param concluded whether it is over
      * @param members present members
      * @param lostCopies logs that may have been lost with a database, and have not been recovered
+     * @param departedCopies those of them that nobody followed at their address, so that their process may not have ended yet
      * @param proof the latest that this leader got itself
      * @param primaryProofAgeMs since any observer last had proof that the primary works
      * @param stalledWriteMs how long writes have waited at the primary while none succeeded; 0 for none
@@ -135,6 +137,7 @@
             boolean concluded,
             List<MemberView> members,
             List<LostCopy> lostCopies,
+            List<LostCopy> departedCopies,
             Optional<PrimaryProof> proof,
             long primaryProofAgeMs,
             long stalledWriteMs,
@@ -145,6 +148,7 @@
             unsettledChoices = Set.copyOf(unsettledChoices);
             members = List.copyOf(members);
             lostCopies = List.copyOf(lostCopies);
+            departedCopies = List.copyOf(departedCopies);
         }
     }
 
@@ -153,7 +157,7 @@
         long nowMs = clock.millis();
         aliveAtMs = Math.max(aliveAtMs, nowMs - situation.primaryProofAgeMs());
         evidence.observe(situation.members());
-        coverage.observe(situation.lostCopies());
+        coverage.observe(situation);
         if (logPending || situation.members().isEmpty()) {
             return List.of();
         }
@@ -169,9 +173,17 @@
                 : fence(situation, nowMs);
     }
 
-    /** A change of the log that was asked for has ended, in whatever way. */
-    public void logDone() {
+    /**
+     * A change of the log that was asked for has ended.
+     *
+     * @param committed whether it surely took effect. A token that may be another leader's is not this one's: it is raised again.
+     */
+    public void logDone(boolean committed) {
         logPending = false;
+        if (raisePending && !committed) {
+            ownToken = 0;
+        }
+        raisePending = false;
     }
 
     /** An instance answered a status question, a pause or a demotion. */
@@ -181,11 +193,17 @@
             commandsSentAtMs.remove("fenced " + instanceId);
         }
         answeredIds.add(instanceId);
+        coverage.onAnswered(instanceId);
         if (status.heldTerm() > 0 && !status.primary()) {
             pausedIds.add(instanceId);
         }
     }
 
+    /** An instance's address refused a connection. */
+    public void onRefused(String instanceId) {
+        coverage.onRefused(instanceId);
+    }
+
     /** The old primary confirmed that it is a replica now. */
     public void onDemoted(String instanceId, ReplicaStatus status) {
         onStatus(instanceId, status);
@@ -219,7 +237,7 @@
     public long copies(Situation situation) {
         long dispensable = situation.members().stream()
                 .filter(member -> !evidence.answersAsReplica(member.instanceId()))
-                .filter(member -> coverage.isDispensable(member, aliveAtMs))
+                .filter(member -> coverage.isDispensable(member))
                 .count();
         return situation.members().size() - dispensable + situation.lostCopies().size();
     }
@@ -289,7 +307,8 @@
         if (!recovered.isEmpty()) {
             return isDue("recover", nowMs) ? List.of(new Recover(recovered)) : List.of();
         }
-        return replicas.stream()
+        return situation.members().stream()
+                .filter(member -> replicas.contains(member) || coverage.isSilent(member))
                 .filter(member -> isDue("coverage " + member.instanceId(), nowMs))
                 .<SyncFailoverEffect>map(member -> new AskStatus(member.instanceId()))
                 .toList();
@@ -298,7 +317,7 @@
     private Optional<String> choice(Situation situation) {
         long dispensable = situation.members().stream()
                 .filter(member -> !evidence.answersAsReplica(member.instanceId()))
-                .filter(member -> coverage.isDispensable(member, aliveAtMs))
+                .filter(member -> coverage.isDispensable(member))
                 .count();
         return evidence.choice(
                 situation.members(),
@@ -359,6 +378,7 @@
         ordered = false;
         ownToken = situation.token() + 1;
         logPending = true;
+        raisePending = true;
         return List.of(new RaiseToken(situation.token(), unsettled));
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -324,6 +324,10 @@
                 concluded,
                 members,
                 lostCopies,
+                lostCopies.stream()
+                        .filter(copy -> registry.all().stream()
+                                .noneMatch(member -> member.address().equals(copy.address())))
+                        .toList(),
                 proven.map(database -> new PrimaryProof(database.position(), clock.millis())),
                 proven.isPresent() ? 0 : Long.MAX_VALUE / 4,
                 0,
@@ -348,14 +352,14 @@
             unsettledChoices = raise.unsettledChoices();
             chosenId = Optional.empty();
             concluded = false;
-            failover.logDone();
+            failover.logDone(true);
         } else if (effect instanceof SyncFailoverEffect.Choose choose) {
             chosenId = Optional.of(choose.instanceId());
-            failover.logDone();
+            failover.logDone(true);
         } else if (effect instanceof SyncFailoverEffect.Conclude) {
             concluded = true;
             unsettledChoices = Set.of();
-            failover.logDone();
+            failover.logDone(true);
         } else if (effect instanceof SyncFailoverEffect.Recover recover) {
             registry.recover(recover.copies());
         } else if (effect instanceof SyncFailoverEffect.Promote promote) {
@@ -400,6 +404,10 @@
 
     /** A command that may be lost on its way, or its answer. */
     private void command(String id, Consumer<SimulatedDatabase> work) {
+        boolean processEnded = find(id).filter(database -> database.up).isEmpty();
+        if (processEnded && find(id).map(database -> database.reachable).orElse(true)) {
+            failover.onRefused(id);
+        }
         reached(id).ifPresent(database -> {
             work.accept(database);
             if (random.nextInt(10) > 0) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -129,7 +129,7 @@
         step(2_000);
         failover.onOrderAnswered(1, true);
         step(2_000);
-        failover.logDone();
+        failover.logDone(true);
         concluded = true;
         advance(2_900);
 
@@ -152,11 +152,11 @@
         failover.onStatus("b", replica(3, 60, 4));
         assertThat(step(100)).containsExactly(new Choose(1, "b"));
         chosenId = Optional.of("b");
-        failover.logDone();
+        failover.logDone(true);
         step(100);
         failover.onOrderAnswered(1, true);
         step(100);
-        failover.logDone();
+        failover.logDone(true);
         concluded = true;
         for (int i = 0; i < 9; i++) {
             advance(300);
@@ -169,7 +169,7 @@
     void aLeavingPrimaryAcknowledgesNothingWhileItsSuccessorTakesOver() {
         members = List.of(new MemberView("p", true, true, 0, false), A, B);
         assertThat(step(0)).containsExactly(new RaiseToken(0));
-        failover.logDone();
+        failover.logDone(true);
         token = 1;
         concluded = false;
         step(0);
@@ -183,11 +183,11 @@
         failover.onDemoted("p", replica(2, 237, 0));
         assertThat(chosen(step(0))).isTrue();
         chosenId = Optional.of("a");
-        failover.logDone();
+        failover.logDone(true);
         assertThat(step(0)).containsExactly(new Promote(1, "a"));
         failover.onOrderAnswered(1, true);
         assertThat(step(0)).containsExactly(new Conclude(1, "a"));
-        failover.logDone();
+        failover.logDone(true);
         concluded = true;
         advance(590);
 
@@ -288,7 +288,7 @@
         }
         failover.onOrderAnswered(1, true);
         step(2_400);
-        failover.logDone();
+        failover.logDone(true);
         concluded = true;
         advance(900);
         assertThat(decisions(step(0))).isEmpty();
@@ -319,6 +319,19 @@
         assertThat(step(0)).containsExactly(new RaiseToken(7, Set.of("a")));
     }
 
+    /** Found by the soak, seed 4015: a deposed leader took the token that its successor had raised for its own. */
+    @Test
+    void aTokenWhoseCommitFailedIsNotUsed() {
+        advance(1_001);
+        assertThat(step(1_001)).containsExactly(new RaiseToken(0));
+        failover.logDone(false);
+        token = 1;
+        concluded = false;
+        chosenId = Optional.of("b");
+
+        assertThat(step(1_001)).containsExactly(new RaiseToken(1, Set.of("b")));
+    }
+
     @Test
     void aPrimaryThatIsBackBeforeAnyOrderStays() {
         raise();
@@ -336,12 +349,12 @@
         concluded = false;
         chosenId = Optional.of("a");
         step(5_000);
-        failover.logDone();
+        failover.logDone(true);
         token = 8;
         chosenId = Optional.empty();
         advance(400);
         assertThat(step(10)).containsExactly(new Choose(8, "p"));
-        failover.logDone();
+        failover.logDone(true);
         chosenId = Optional.of("p");
 
         assertThat(step(10)).containsExactly(new Promote(8, "p"));
@@ -364,7 +377,7 @@
         concluded = false;
         chosenId = Optional.of("a");
         step(5_000);
-        failover.logDone();
+        failover.logDone(true);
         token = 8;
         chosenId = Optional.empty();
         step(5_000);
@@ -384,7 +397,7 @@
     @Test
     void aPrimaryThatManyProxiesCantReachIsReplacedThoughItWorks() {
         assertThat(failover.step(situation(0, 0, false, true))).containsExactly(new RaiseToken(0));
-        failover.logDone();
+        failover.logDone(true);
         token = 1;
         concluded = false;
         advance(400);
@@ -396,7 +409,7 @@
     @Test
     void aWorkingPrimaryIsNotDemotedBeforeASuccessorHasAnswered() {
         failover.step(situation(0, 0, false, true));
-        failover.logDone();
+        failover.logDone(true);
         token = 1;
         concluded = false;
         step(0);
@@ -434,7 +447,7 @@
         advance(1_001);
         assertThat(step(1_001)).containsExactly(new RaiseToken(0));
         assertThat(step(1_001)).isEmpty();
-        failover.logDone();
+        failover.logDone(true);
         token = 1;
         concluded = false;
     }
@@ -445,7 +458,7 @@
         failover.onStatus("a", replica(3, 50, 4));
         failover.onStatus("b", replica(3, 60, 4));
         assertThat(step(1_400)).containsExactly(new Choose(1, "b"));
-        failover.logDone();
+        failover.logDone(true);
         chosenId = Optional.of("b");
     }
 
@@ -472,6 +485,7 @@
                 concluded,
                 members,
                 lostCopies,
+                List.of(),
                 proof,
                 proofAgeMs,
                 stalledWriteMs,
