--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -44,8 +44,21 @@
     /** Long enough for every order, takeover, pause and round of questions to end. */
     private static final int QUIET_STEPS = 500;
 
-    /** What histories do. */
-    record Disturbances(int databases, boolean pausesWork, long promotionMs, boolean logsAreLost) {}
+    /**
+     * What histories do.
+     *
+     * @param databases how many a group has
+     * @param pausesWork false where replicas only claim to be paused
+     * @param promotionMs how long a promotion takes
+     * @param logsAreLost whether databases also return empty, are replaced and leave
+     * @param newBirths whether a database that returns with its log has a new id, as a new process
+     */
+    record Disturbances(int databases, boolean pausesWork, long promotionMs, boolean logsAreLost, boolean newBirths) {
+        /** Where a database that returns with its log has the id that it had, unless logs are lost. */
+        Disturbances(int databases, boolean pausesWork, long promotionMs, boolean logsAreLost) {
+            this(databases, pausesWork, promotionMs, logsAreLost, false);
+        }
+    }
 
     /** An order that the platform has taken and not carried out. */
     private record LateOrder(long token, String instanceId, long atMs) {}
@@ -178,7 +191,7 @@
             next = database.emptied(random.nextBoolean() ? database.id : nextId(), clock.millis());
             note("empty at the place of " + database.id + " " + next.id);
         } else {
-            boolean otherId = disturbances.logsAreLost() && random.nextBoolean();
+            boolean otherId = disturbances.newBirths() || (disturbances.logsAreLost() && random.nextBoolean());
             next = database.restarted(otherId ? nextId() : database.id, otherId ? clock.millis() : database.bornMs);
             next.sequence = database.sequence;
             next.leavingSinceMs = database.leavingSinceMs;
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
@@ -29,10 +29,16 @@
     void aGroupThatLostNoLogServesAgainOnceDisturbancesEnd(int databases, long promotionMs) {
         Disturbances disturbances = new Disturbances(databases, true, promotionMs, false);
         for (int seed = 0; seed < HISTORIES; seed++) {
-            if (!settled(disturbances, seed, false).isServing()) {
-                SimulatedGroup again = settled(disturbances, seed, true);
-                throw new AssertionError(disturbances + ", seed " + seed + ", trace " + again.trace);
-            }
+            requireServing(disturbances, seed);
+        }
+    }
+
+    /** Every log is kept, but each return is a new process, whose log is unproven until a primary is. */
+    @Test
+    void aGroupServesAgainAfterADemotionAndRestarts() {
+        Disturbances disturbances = new Disturbances(3, true, 600, false, true);
+        for (int seed = 0; seed < HISTORIES; seed++) {
+            requireServing(disturbances, seed);
         }
     }
 
@@ -48,6 +54,13 @@
         assertThat(losing).isAtLeast(1);
     }
 
+    private static void requireServing(Disturbances disturbances, int seed) {
+        if (!settled(disturbances, seed, false).isServing()) {
+            SimulatedGroup again = settled(disturbances, seed, true);
+            throw new AssertionError(disturbances + ", seed " + seed + ", trace " + again.trace);
+        }
+    }
+
     private static SimulatedGroup settled(Disturbances disturbances, int seed, boolean traced) {
         SimulatedGroup group = new SimulatedGroup(disturbances, seed, traced);
         group.run();
