--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -36,7 +36,8 @@
  *   <li>Once all members but one are paused or demoted, the one with the latest position holds all that was ever
  *       acknowledged, since the primary and a replica hold each commit. A replica that holds all of a demoted primary's log
  *       does too. A pause ends with a restart and with any promotion, an earlier order that is carried out late included; so only
- *       answers of the last moment count.
+ *       answers of the last moment count. A log that was lost with a database counts as a member that does not answer, until
+ *       {@link ReplicaCoverage} shows that nothing acknowledged depends on it.
  *   <li>The choice is committed, then ordered, and ordered again until there is a clear answer, as long as it still holds all:
  *       an order without an answer may be carried out much later. Until then no replica is told to receive again.
  *   <li>The end is committed. An accepted order takes a while to take effect, and the old primary may lead until then: the other
@@ -45,8 +46,7 @@
  *
  * <p>A leader that finds a promotion unfinished begins again with a token of its own. While the instance chosen before still
  * qualifies it stays the choice: if its order is carried out late, the new order changes nothing; another is ordered only when an
- * order accepted before would have taken effect. If the old primary proves to be alive
- * while replicas are still missing, it stays, and the replicas are resumed. Where an earlier order may still be under way, the
+ * order accepted before would have taken effect. If the old primary proves to be alive while replicas are still missing, it stays, and the replicas are resumed. Where an earlier order may still be under way, the
  * old primary is ordered under the new token first, which changes nothing but has the earlier order refused. Confined to one
  * thread.
  */
