--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -108,13 +108,17 @@
         failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT);
     }
 
-    /** Plays a history; returns how many promotions took effect. */
-    int run() {
+    /** Plays a history. */
+    void run() {
         for (int i = 0; i < STEPS && lost.isEmpty(); i++) {
             clock.advance(Duration.ofMillis(STEP_MS));
             disturb();
             pass(true);
         }
+    }
+
+    /** How many promotions took effect. */
+    int promotions() {
         return promotions;
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
@@ -2,6 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.stream.IntStream;
 import org.hornbeamspread.core.failover.SimulatedGroup.Disturbances;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,38 +30,34 @@
     @ParameterizedTest
     @CsvSource({"3, 0", "3, 600", "4, 600"})
     void aGroupThatLostNoLogServesAgainOnceDisturbancesEnd(int databases, long promotionMs) {
-        Disturbances disturbances = new Disturbances(databases, true, promotionMs, false);
-        for (int seed = 0; seed < HISTORIES; seed++) {
-            requireServing(disturbances, seed);
-        }
+        requireServing(new Disturbances(databases, true, promotionMs, false));
     }
 
     /** Every log is kept, but each return is a new process, whose log is unproven until a primary is. */
     @Test
     void aGroupServesAgainAfterADemotionAndRestarts() {
-        Disturbances disturbances = new Disturbances(3, true, 600, false, true);
-        for (int seed = 0; seed < HISTORIES; seed++) {
-            requireServing(disturbances, seed);
-        }
+        requireServing(new Disturbances(3, true, 600, false, true));
     }
 
     /** The same checker sees a loss when replicas are not paused before they are asked for their position. */
     @Test
     void historiesWithoutPausesLoseCommits() {
-        int losing = 0;
-        for (int seed = 0; seed < HISTORIES; seed++) {
-            SimulatedGroup group = new SimulatedGroup(new Disturbances(3, false, 0, false), seed, false);
-            group.run();
-            losing += group.lost.isEmpty() ? 0 : 1;
-        }
+        long losing = played(new Disturbances(3, false, 0, false)).stream()
+                .filter(group -> !group.lost.isEmpty())
+                .count();
+
         assertThat(losing).isAtLeast(1);
     }
 
-    private static void requireServing(Disturbances disturbances, int seed) {
-        if (!settled(disturbances, seed, false).isServing()) {
+    private static void requireServing(Disturbances disturbances) {
+        OptionalInt failing = IntStream.range(0, HISTORIES)
+                .parallel()
+                .filter(seed -> !settled(disturbances, seed, false).isServing())
+                .min();
+        failing.ifPresent(seed -> {
             SimulatedGroup again = settled(disturbances, seed, true);
             throw new AssertionError(disturbances + ", seed " + seed + ", trace " + again.trace);
-        }
+        });
     }
 
     private static SimulatedGroup settled(Disturbances disturbances, int seed, boolean traced) {
@@ -69,17 +68,28 @@
     }
 
     private static void requireNoLoss(Disturbances disturbances) {
-        int promotions = 0;
+        List<SimulatedGroup> histories = played(disturbances);
         for (int seed = 0; seed < HISTORIES; seed++) {
-            SimulatedGroup group = new SimulatedGroup(disturbances, seed, false);
-            promotions += group.run();
-            if (!group.lost.isEmpty()) {
+            if (!histories.get(seed).lost.isEmpty()) {
                 SimulatedGroup again = new SimulatedGroup(disturbances, seed, true);
                 again.run();
                 throw new AssertionError(
                         disturbances + ", seed " + seed + ": lost " + again.lost + ", trace " + again.trace);
             }
         }
-        assertThat(promotions).isAtLeast(HISTORIES / 4);
+        assertThat(histories.stream().mapToInt(SimulatedGroup::promotions).sum())
+                .isAtLeast(HISTORIES / 4);
+    }
+
+    /** A history for each seed, in order; each depends on its seed alone. */
+    private static List<SimulatedGroup> played(Disturbances disturbances) {
+        return IntStream.range(0, HISTORIES)
+                .parallel()
+                .mapToObj(seed -> {
+                    SimulatedGroup group = new SimulatedGroup(disturbances, seed, false);
+                    group.run();
+                    return group;
+                })
+                .toList();
     }
 }
