A primary whose log is unproven is not demoted

Cause: the primary had crashed while a departed copy was not recovered yet; it returned and led, and was demoted before its proof had come. A demotion proves nothing where the log is unproven, and with it nobody was left who could prove to lead, so the lost copies could not be recovered. Now such a primary is left to lead; it stays once its proof is there. aReturnedPrimaryIsNotDemotedWhileItsLogIsUnproven, red before.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -420,7 +420,7 @@
             if (status.isEmpty()) {
                 effects.add(new AskStatus(id));
             } else if (status.get().primary()) {
-                demote(situation, id, term).ifPresent(effects::add);
+                demote(situation, member, term).ifPresent(effects::add);
             } else if (status.get().heldTerm() == 0 && !evidence.isDemoted(id)) {
                 effects.add(pause(id, term));
             } else {
@@ -461,11 +461,12 @@
         return effects;
     }
 
-    private Optional<SyncFailoverEffect> demote(Situation situation, String primaryId, long term) {
-        if (hasSuccessor(situation)) {
-            return Optional.of(new Demote(primaryId, term));
+    /** A primary whose log is unproven would prove nothing by its demotion, and nobody could prove to lead any more. */
+    private Optional<SyncFailoverEffect> demote(Situation situation, MemberView primary, long term) {
+        if (hasSuccessor(situation) && !primary.logUnproven()) {
+            return Optional.of(new Demote(primary.instanceId(), term));
         }
-        commandsSentAtMs.remove(primaryId);
+        commandsSentAtMs.remove(primary.instanceId());
         return Optional.empty();
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -361,6 +361,24 @@
         assertThat(done).isEqualTo(recovered);
     }
 
+    /** Found by the soak, seed 3001: the primary that had returned was demoted, and nobody could be promoted any more. */
+    @Test
+    void aReturnedPrimaryIsNotDemotedWhileItsLogIsUnproven() {
+        raise();
+        members = List.of(new MemberView("p", false, true, 0, true), A, B);
+        lostCopies = List.of(
+                new LostCopy("s", new Address("10.0.0.1", 1), "p", 1),
+                new LostCopy("s", new Address("10.0.0.9", 1), "c", 1));
+        step(1_100);
+        failover.onStatus("p", new ReplicaStatus(true, 1, new LogPosition(1, 95), 0));
+        failover.onStatus("a", replica(1, 95, 2));
+        failover.onStatus("b", replica(1, 95, 2));
+        assertThat(step(1_100)).doesNotContain(new Demote("p", 3));
+        advance(100);
+
+        assertThat(step(0)).containsExactly(new Choose(1, "p"), new Conclude(1, "p"));
+    }
+
     /** Found by the soak, seed 4015: a deposed leader took the token that its successor had raised for its own. */
     @Test
     void aTokenWhoseCommitFailedIsNotUsed() {
