An empty replica counts as fenced once it has announced itself since

Cause: an empty log counted for nothing until the loss was recorded, which for a database that had never announced another incarnation was never. Change: an instance that has announced itself after it reported the empty log is the registered incarnation; it counts as fenced. Tried and not kept: storing the end of a demoted primary's log in control's log, and choosing by it once every member is fenced.

--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -28,6 +28,9 @@
 
     private final Map<String, Long> statusReceivedAtMs = new HashMap<>();
 
+    /** The time since which each member has reported an empty log while paused, under the current token. */
+    private final Map<String, Long> emptyLogSinceMs = new HashMap<>();
+
     /** The terms of pauses without a response. */
     private final Map<String, Long> pendingPauseTerms = new HashMap<>();
 
@@ -57,6 +60,7 @@
         statuses.clear();
         statusReceivedAtMs.clear();
         pendingPauseTerms.clear();
+        emptyLogSinceMs.clear();
         demotedId = Optional.empty();
         earlierCandidates = Set.copyOf(candidates);
         startedAtMs = clock.millis();
@@ -84,6 +88,11 @@
     boolean onStatus(String instanceId, ReplicaStatus status) {
         statuses.put(instanceId, status);
         statusReceivedAtMs.put(instanceId, clock.millis());
+        if (status.received().equals(LogPosition.NONE) && status.heldTerm() > 0) {
+            emptyLogSinceMs.putIfAbsent(instanceId, clock.millis());
+        } else {
+            emptyLogSinceMs.remove(instanceId);
+        }
         Long pauseTerm = pendingPauseTerms.remove(instanceId);
         boolean refused = pauseTerm != null && status.heldTerm() == 0;
         if (refused) {
@@ -138,9 +147,7 @@
                         .thenComparing(member -> earlierCandidates.contains(member.instanceId()))
                         .thenComparing(member -> !member.draining()));
         boolean demotedResponding = replicas.stream().anyMatch(member -> isDemoted(member.instanceId()));
-        long fenced = replicas.stream()
-                .filter(member -> isFenced(member.instanceId()))
-                .count();
+        long fenced = replicas.stream().filter(this::isFenced).count();
         boolean allButOneFenced = fenced >= copies - 1 && fenced == replicas.size();
         if (mostAdvanced.isEmpty() || !(demotedResponding || allButOneFenced)) {
             return Optional.empty();
@@ -189,18 +196,23 @@
     }
 
     /** Whether an instance reported recently that it neither leads nor receives. */
-    private boolean isFenced(String id) {
+    private boolean isFenced(MemberView member) {
+        String id = member.instanceId();
         return isRespondingReplica(id)
-                && !hasUnexplainedEmptyLog(id)
+                && !hasUnexplainedEmptyLog(member)
                 && (statuses.get(id).heldTerm() > 0 || isDemoted(id));
     }
 
     /**
      * Whether an instance has an empty log while others do not, and no loss of its log is recorded: the instance may have just
-     * restarted and not announced itself yet.
+     * restarted and not announced itself yet. An instance that has announced itself since it reported the empty log is the registered
+     * incarnation, and never held an entry.
      */
-    private boolean hasUnexplainedEmptyLog(String id) {
-        return statuses.get(id).received().equals(LogPosition.NONE)
+    private boolean hasUnexplainedEmptyLog(MemberView member) {
+        String id = member.instanceId();
+        boolean announcedSince = clock.millis() - member.silentMs() > emptyLogSinceMs.getOrDefault(id, Long.MAX_VALUE);
+        return !announcedSince
+                && statuses.get(id).received().equals(LogPosition.NONE)
                 && !unprovenLogIds.contains(id)
                 && statuses.values().stream()
                         .anyMatch(status -> !status.received().equals(LogPosition.NONE));
@@ -215,7 +227,7 @@
         return id + (status.primary() ? " primary" : " replica") + " received "
                 + status.received().term() + ":" + status.received().indexEntries() + " held_term " + status.heldTerm()
                 + " age_ms " + (clock.millis() - statusReceivedAtMs.get(id))
-                + (isFenced(id) ? " fenced" : "")
+                + (isFenced(member) ? " fenced" : "")
                 + (member.logUnproven() ? " log unproven" : "");
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -364,6 +364,21 @@
         assertThat(recovered).isEqualTo(expectedRecovered);
     }
 
+    /** An empty log may be that of an incarnation that is not registered yet, unless it has announced itself since (soak, seed 1). */
+    @ParameterizedTest
+    @CsvSource({"500, false", "100, true"})
+    void emptyReplicaCountsOnceItHasAnnouncedItselfSince(long silentMs, boolean expectedChoice) {
+        raiseToken();
+        step(1_100);
+        failover.onStatus("a", new ReplicaStatus(false, 0, LogPosition.NONE, 4));
+        advance(200);
+        members = List.of(PRIMARY, new MemberView("a", false, false, silentMs, false), B);
+        failover.onStatus("a", new ReplicaStatus(false, 0, LogPosition.NONE, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(hasChoice(step(1_400))).isEqualTo(expectedChoice);
+    }
+
     /** The restarted primary was demoted, and no instance could be promoted any more (soak, seed 3001). */
     @Test
     void restartedPrimaryIsNotDemotedWhileItsLogIsUnproven() {
