More proxies than connections: idle ones are left to others, positions come from control

Cause: each proxy took one connection and kept it while idle, so that 69 proxies held all and 25 had none, for good. Besides, each read needed a connection to the primary for a position sample, though control has one for all: the sample counted from the start of a watch request that control had held for 800 ms. Ruled out: slots (14 % used) and the number of connections in use at a time (1 to 3 a database). Change: ConnectionShare. At most 60 % of the connections stay open while idle, at proxies that a hash selects; the others open one for a statement and close it 100 ms later; two at once, so that an idle transaction blocks nobody. Updates say how long control held the request, and a sample is refreshed by the proxy itself only at 80 % of the allowance.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -237,7 +237,8 @@
         SystemUpdate.Builder update = sameTerm && request.getSystemVersion() == systemVersion
                 ? SystemUpdate.newBuilder()
                 : latestUpdate.toBuilder();
-        update.setLeaderTerm(leaderTerm).setSystemVersion(systemVersion);
+        update.setLeaderTerm(leaderTerm).setSystemVersion(systemVersion).setHeldMs((int)
+                (clock.millis() - watcher.receivedAtMs));
         addPositions(update);
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
             update.setConfiguration(state.getRoutes().toBuilder().clearSource());
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -67,6 +67,7 @@
         proxies.answerExpiredWatches();
         assertThat(answers).hasSize(2);
         assertThat(lastUpdate().hasConfiguration()).isFalse();
+        assertThat(lastUpdate().getHeldMs()).isEqualTo(250);
     }
 
     /** Sent before its promotion is requested: the previous primary may lead until the promotion takes effect. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnectionPool.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnectionPool.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.hornbeamspread.core.admission.AdaptiveConcurrencyLimit;
+import org.hornbeamspread.core.admission.ConnectionShare;
 import org.hornbeamspread.core.admission.RankScheduler;
 import org.hornbeamspread.core.admission.SlotRequest;
 import org.hornbeamspread.core.misc.EventLog;
@@ -51,13 +52,13 @@
     /**
      * Creates a pool without connections.
      *
-     * @param limit maximum number of connections that this proxy may hold to the instance
+     * @param share this proxy's share of the instance's connections
      * @param proxies number of proxies that share the database
      * @param reroute receives each request that must be routed again
      */
     InstanceConnectionPool(
             DatabaseInstance instance,
-            int limit,
+            ConnectionShare share,
             int proxies,
             SqlConnector connector,
             Clock clock,
@@ -67,9 +68,9 @@
         this.clock = clock;
         this.reroute = reroute;
         this.connections =
-                new InstanceConnections(instance, limit, connector, clock, events, this::onConnectionsAvailable);
+                new InstanceConnections(instance, share, connector, clock, events, this::onConnectionsAvailable);
         this.limiter = new StatementLimiter(new AdaptiveConcurrencyLimit(instance.slots(), proxies));
-        this.scheduler = new RankScheduler(limit, PriorityRanks.rankSettings(), clock.instant());
+        this.scheduler = new RankScheduler(share.limit(), PriorityRanks.rankSettings(), clock.instant());
     }
 
     DatabaseInstance instance() {
@@ -151,9 +152,9 @@
     }
 
     /** Applies new limits. Connections in use are kept. */
-    void resize(int newLimit, int proxies) {
+    void resize(ConnectionShare newShare, int proxies) {
         limiter.resize(instance.slots(), proxies);
-        connections.resize(newLimit);
+        connections.resize(newShare);
         onConnectionsAvailable();
     }
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnections.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnections.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import org.hornbeamspread.core.admission.AdaptiveConnectionLimit;
+import org.hornbeamspread.core.admission.ConnectionShare;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
@@ -16,18 +17,15 @@
 import org.hornbeamspread.core.sql.SqlConnector;
 
 /**
- * This proxy's connections to one instance. {@link AdaptiveConnectionLimit} limits their number; {@link Reachability} detects
- * whether the instance responds. Connections that have been idle for some time are closed: when a machine loses power, the
- * instance still holds that machine's connections for a while, and they use up the connection limit that the proxies need
- * when they restart. Confined to the engine's thread.
+ * This proxy's connections to one instance. {@link ConnectionShare} and {@link AdaptiveConnectionLimit} limit their number;
+ * {@link Reachability} detects whether the instance responds. Connections that have been idle for some time are closed, except
+ * for one where the share retains it: other proxies may need them, and when a machine loses power, the instance still holds
+ * that machine's connections for a while. Confined to the engine's thread.
  */
 final class InstanceConnections {
     /** Four round trips between regions, and the set-up of a connection at a busy database. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-    /** A hundred times the set-up time of a connection at a database. */
-    private static final long IDLE_TIMEOUT_MS = 1_500;
-
     private final DatabaseInstance instance;
     private final SqlConnector connector;
     private final Clock clock;
@@ -36,7 +34,7 @@
     private final Deque<PooledConnection> idle = new ArrayDeque<>();
     private final Reachability reachability = new Reachability();
     private final AdaptiveConnectionLimit adaptiveLimit;
-    private int configuredLimit;
+    private ConnectionShare share;
 
     /** Open connections and connections that are being opened. */
     private int connectionCount;
@@ -57,14 +55,14 @@
      */
     InstanceConnections(
             DatabaseInstance instance,
-            int limit,
+            ConnectionShare share,
             SqlConnector connector,
             Clock clock,
             EventLog events,
             Runnable onConnectionsAvailable) {
         this.instance = instance;
-        this.configuredLimit = limit;
-        this.adaptiveLimit = new AdaptiveConnectionLimit(limit);
+        this.share = share;
+        this.adaptiveLimit = new AdaptiveConnectionLimit(share.limit());
         this.connector = connector;
         this.clock = clock;
         this.events = events;
@@ -92,13 +90,13 @@
 
     /** Whether {@link #check} must be called again. */
     boolean needsCheck() {
-        return idle.size() > 1 || !isUsable();
+        return idle.size() > retainedConnections() || !isUsable();
     }
 
-    void resize(int newLimit) {
-        configuredLimit = newLimit;
-        adaptiveLimit.resize(newLimit);
-        while (connectionCount > configuredLimit && !idle.isEmpty()) {
+    void resize(ConnectionShare newShare) {
+        share = newShare;
+        adaptiveLimit.resize(newShare.limit());
+        while (connectionCount > share.limit() && !idle.isEmpty()) {
             discard(idle.removeLast());
         }
     }
@@ -121,17 +119,17 @@
     }
 
     /**
-     * Closes connections past the idle timeout, except for one, and probes the instance when a probe is due: a connection attempt
+     * Closes connections past the idle timeout, except for a retained one, and probes the instance when a probe is due: a connection attempt
      * that no request waits for.
      *
      * @param requestsWaiting whether requests wait for a connection
      */
     void check(boolean requestsWaiting) {
         long nowMs = clock.millis();
-        while (idle.size() > 1 && nowMs - idle.peekLast().idleSinceMs() > IDLE_TIMEOUT_MS) {
+        while (idle.size() > retainedConnections() && nowMs - idle.peekLast().idleSinceMs() > share.idleTimeoutMs()) {
             discard(idle.removeLast());
         }
-        if (closed || connectionCount >= configuredLimit) {
+        if (closed || connectionCount >= share.limit()) {
             return;
         }
         boolean reachabilityProbeDue = reachability.isProbeDue(nowMs);
@@ -194,7 +192,7 @@
 
     /** Adds a connection outside of any transaction to the idle ones, or closes a connection above the limit. */
     void putIdle(PooledConnection connection) {
-        if (connection.isOpen() && !closed && connectionCount <= configuredLimit) {
+        if (connection.isOpen() && !closed && connectionCount <= share.limit()) {
             connection.onIdle();
             idle.addFirst(connection);
         } else {
@@ -219,6 +217,10 @@
         }
     }
 
+    private int retainedConnections() {
+        return share.retainsIdle() ? 1 : 0;
+    }
+
     private int openCount() {
         return connectionCount - openingCount;
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
@@ -75,6 +75,7 @@
     /**
      * Creates an engine without sessions.
      *
+     * @param proxyId the id of this proxy, unique among the proxies
      * @param failureDomain the failure domain of this proxy
      * @param regionByDomain the region of each failure domain
      * @param clock a monotonic clock
@@ -82,6 +83,7 @@
      * @param executor runs all work of the engine on one thread
      */
     public SessionEngine(
+            String proxyId,
             String failureDomain,
             Map<String, String> regionByDomain,
             SqlConnector connector,
@@ -96,7 +98,7 @@
         this.events = events;
         SessionMetrics metrics = new SessionMetrics(registry);
         this.router = new StatementRouter(
-                failureDomain, regionByDomain, connector, clock, clockJumpDetector, executor, events, metrics);
+                proxyId, failureDomain, regionByDomain, connector, clock, clockJumpDetector, executor, events, metrics);
         this.context =
                 new SessionContext(router, clock, clockJumpDetector, executor, events, metrics, sessions::remove);
         GaugeWithCallback.builder()
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.hornbeamspread.core.admission.ConnectionShare;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -37,8 +38,11 @@
     /** Subtracted from a staleness allowance, since ages are rounded. */
     private static final long STALENESS_MARGIN_MS = 100;
 
-    /** Samples older than this fraction of the staleness allowance are refreshed before they expire. */
-    private static final double SAMPLE_REFRESH_FRACTION = 0.5;
+    /**
+     * A sample older than this fraction of the staleness allowance is refreshed before it expires. While control is reachable, its
+     * updates bring a sample of each service more often, so that this proxy needs no connection to the primaries for samples.
+     */
+    private static final double SAMPLE_REFRESH_FRACTION = 0.8;
 
     private static final long PARKED_RETRY_INTERVAL_MS = 25;
 
@@ -60,6 +64,7 @@
     private static final double SAME_REGION_RTT_MS = 4;
     private static final double OTHER_REGION_RTT_MS = 24;
 
+    private final String proxyId;
     private final String failureDomain;
     private final Map<String, String> regionByDomain;
     private final SqlConnector connector;
@@ -89,6 +94,7 @@
     }
 
     StatementRouter(
+            String proxyId,
             String failureDomain,
             Map<String, String> regionByDomain,
             SqlConnector connector,
@@ -98,6 +104,7 @@
             EventLog events,
             SessionMetrics metrics) {
         this.metrics = metrics;
+        this.proxyId = proxyId;
         this.failureDomain = failureDomain;
         this.regionByDomain = Map.copyOf(regionByDomain);
         this.connector = connector;
@@ -135,7 +142,7 @@
                 pools.remove(pool.instance().instanceId());
                 pool.close();
             } else {
-                pool.resize(connectionLimit(current), next.proxyCount());
+                pool.resize(connectionShare(current), next.proxyCount());
             }
         }
         for (DatabaseInstance instance : next.instances()) {
@@ -324,16 +331,16 @@
         return pools.computeIfAbsent(
                 instance.instanceId(),
                 id -> new InstanceConnectionPool(
-                        instance, connectionLimit(instance), view.proxyCount(), connector, clock, events, this::retry));
+                        instance, connectionShare(instance), view.proxyCount(), connector, clock, events, this::retry));
     }
 
-    /** This proxy's share of the connections that a database accepts from all proxies. */
-    private int connectionLimit(DatabaseInstance instance) {
+    private ConnectionShare connectionShare(DatabaseInstance instance) {
         int maxConnections = view.configuration()
                 .service(instance.service())
                 .map(RoutedService::maxConnections)
                 .orElse(0);
-        return Math.max(1, (maxConnections - RESERVED_CONNECTIONS) / Math.max(1, view.proxyCount()));
+        return ConnectionShare.of(
+                maxConnections - RESERVED_CONNECTIONS, view.proxyCount(), proxyId, instance.instanceId());
     }
 
     private void scheduleCheck() {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -197,10 +197,12 @@
             engine.onView(SystemView.of(
                     configuration, view.instances(), view.promotedIds(), proxyCountEstimate.current(clock.millis())));
         }
+        // Control sent the update at this time or later: the time on the network is not known.
+        long sentAtMs = Math.min(requestedAtMs + update.getHeldMs(), clock.millis());
         for (PrimaryPosition primaryPosition : update.getPositionsList()) {
             engine.onSharedPosition(
                     primaryPosition.getService(),
-                    requestedAtMs - primaryPosition.getAgeMs(),
+                    sentAtMs - primaryPosition.getAgeMs(),
                     requestEpoch,
                     Envelopes.position(primaryPosition.getPosition()));
         }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/ConnectionLimitTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/ConnectionLimitTest.java
@@ -5,9 +5,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hornbeamspread.core.sql.SqlError;
+import org.hornbeamspread.core.sql.SqlStatement.Begin;
 import org.hornbeamspread.core.sql.SqlStatement.Write;
 import org.hornbeamspread.proxy.session.EngineHarness.Client;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * A database that still holds the connections of machines that lost power accepts only a few new ones. Proxies must use the
@@ -78,6 +81,30 @@
         assertThat(harness.primary.openConnections.size()).isAtMost(2);
     }
 
+    /** With more proxies than connections, a proxy that keeps an idle connection deprives another of any (large trouble-1). */
+    @ParameterizedTest
+    @CsvSource({"3, 1", "100000, 0"})
+    void idleConnectionsAreLeftToOtherProxiesWhenTheyAreScarce(int proxies, int expectedOpen) {
+        harness.loadConfiguration(2, 28, proxies);
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        runInSteps(300);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        assertThat(harness.primary.openConnections).hasSize(expectedOpen);
+    }
+
+    /** A transaction whose client is idle occupies one connection; with a single one, everybody else waited behind it. */
+    @Test
+    void idleTransactionDoesNotBlockOtherSessionsWhenConnectionsAreScarce() {
+        harness.loadConfiguration(2, 28, 94);
+        harness.open(EngineHarness.PRIMARY_ROUTE).send("b", new Begin(false)).send("t1", new Write("item", "5"));
+        runInSteps(100);
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "6"));
+        runInSteps(100);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+    }
+
     private List<Client> sendAtIntervals(int steps) {
         List<Client> clients = new ArrayList<>();
         for (int i = 0; i < steps; i++) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.hornbeamspread.core.misc.EventLog;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.Route;
@@ -46,6 +47,7 @@
             }
         };
         engine = new SessionEngine(
+                "proxy-1",
                 "domain-2",
                 Map.of("domain-1", "r", "domain-2", "r", "domain-3", "other"),
                 connector,
@@ -100,6 +102,11 @@
                 view.configuration(), view.instances(), Map.of(FakeDatabase.SERVICE, database.id), view.proxyCount()));
     }
 
+    /** Delivers a position of the primary, which control requested some time ago. */
+    void deliverPositionFromControl(long ageMs) {
+        engine.onSharedPosition(FakeDatabase.SERVICE, clock.millis() - ageMs, engine.clockEpoch(), LogPosition.NONE);
+    }
+
     void run(long forMs) {
         wallClock.advance(Duration.ofMillis(forMs));
         executor.run(forMs);
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -86,6 +86,18 @@
         assertThat(harness.nearReplica.executedStatements).isEmpty();
     }
 
+    /** 94 proxies that each ask 14 primaries for their position need as many connections there (large trouble-1). */
+    @ParameterizedTest
+    @CsvSource({"1000, 0", "1200, 1"})
+    void aRecentPositionFromControlNeedsNoConnectionToThePrimary(long ageMs, int expectedConnections) {
+        harness.deliverPositionFromControl(ageMs);
+        Client client = harness.open(EngineHarness.BOUNDED_STALENESS_ROUTE).send("r1", new Read("item"));
+        harness.run(100);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        assertThat(harness.primary.openedConnectionCount).isEqualTo(expectedConnections);
+    }
+
     @Test
     void noReplicaIsReadAfterAClockJumpInvalidatesTheSamples() {
         Client client = harness.open(EngineHarness.BOUNDED_STALENESS_ROUTE).send("r1", new Read("item"));
