A malformed session token is refused before a transaction's statement or commit is sent

What callers saw: Commit with a malformed token ran, and the answer said INVALID_TOKEN, NOT_RUN (found by reading). Cause: TransactionManager decoded the token after the database's response. Change: the token is decoded first; the transaction stays usable. TransactionTest fails first for Execute and Commit.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/TransactionManager.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/TransactionManager.java
@@ -108,6 +108,7 @@
     /** Runs statements inside a transaction. */
     CompletableFuture<ExecuteResponse> execute(TransactionId id, ExecuteRequest request) {
         OpenTransaction transaction = findIdle(id, FailureType.UNKNOWN_TRANSACTION);
+        SessionToken token = SessionToken.decode(request.getSessionToken());
         RequestContext context = transaction.beginRequest(dispatcher.clock().instant(), request.getTimeoutMs());
         Envelope statements = Envelope.newBuilder()
                 .setExecuteStatements(ExecuteStatements.newBuilder()
@@ -124,13 +125,14 @@
                     if (error != null) {
                         throw toStatementFailure(transaction, FailureException.of(error));
                     }
-                    return executeResponse(transaction, response.getStatementsExecuted(), request);
+                    return executeResponse(transaction, response.getStatementsExecuted(), token);
                 });
     }
 
     /** Commits a transaction; completes when the commit may be acknowledged. */
     CompletableFuture<ExecuteResponse> commit(TransactionId id, EndRequest request) {
         OpenTransaction transaction = findIdle(id, FailureType.TRANSACTION_LOST);
+        SessionToken token = SessionToken.decode(request.getSessionToken());
         if (!transaction.readOnly()) {
             writePath.writableGroup(publisher.current(), transaction.group().getGroup());
         }
@@ -139,7 +141,7 @@
                 .setCommitTransaction(CommitTransaction.newBuilder().setIdempotencyKey(request.getIdempotencyKey()))
                 .build();
         return endTransaction(transaction, commit, context)
-                .thenCompose(ended -> acknowledge(transaction, ended, context, request));
+                .thenCompose(ended -> acknowledge(transaction, ended, context, token));
     }
 
     /** Rolls a transaction back. */
@@ -223,14 +225,13 @@
     }
 
     private ExecuteResponse executeResponse(
-            OpenTransaction transaction, StatementsExecuted executed, ExecuteRequest request) {
+            OpenTransaction transaction, StatementsExecuted executed, SessionToken token) {
         LogPosition position = Envelopes.position(executed.getPosition());
-        SessionToken token = SessionToken.decode(request.getSessionToken())
-                .withRead(transaction.group().getGroup(), position);
         return ExecuteResponse.newBuilder()
                 .setEffect(Effect.DONE)
                 .addAllResults(executed.getResultsList())
-                .setSessionToken(token.encode())
+                .setSessionToken(
+                        token.withRead(transaction.group().getGroup(), position).encode())
                 .setDatabaseId(transaction.group().getPrimaryId())
                 .build();
     }
@@ -255,8 +256,7 @@
     }
 
     private CompletableFuture<ExecuteResponse> acknowledge(
-            OpenTransaction transaction, TransactionEnded ended, RequestContext context, EndRequest request) {
-        SessionToken token = SessionToken.decode(request.getSessionToken());
+            OpenTransaction transaction, TransactionEnded ended, RequestContext context, SessionToken token) {
         String group = transaction.group().getGroup();
         ExecuteResponse.Builder response = ExecuteResponse.newBuilder()
                 .setEffect(Effect.DONE)
--- a/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
@@ -104,6 +104,24 @@
         assertFailed(execute("p1", id), "UNKNOWN_TRANSACTION", Effect.NOT_RUN);
     }
 
+    /** The token was decoded after the response: a commit that had taken effect was reported as not run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Execute", "Commit"})
+    void malformedSessionTokenIsRefusedBeforeAnythingIsSent(String method) {
+        CompletableFuture<BeginResponse> begin = begin("p1", 0);
+        harness.primary.nextCall().respondBegun();
+        String id = begin.join().getTransactionId();
+        CompletableFuture<ExecuteResponse> malformed =
+                "Execute".equals(method) ? execute("p1", id, "not a token") : end("p1", method, id, "not a token");
+        assertFailed(malformed, "INVALID_TOKEN", Effect.NOT_RUN);
+
+        CompletableFuture<ExecuteResponse> rollback = end("p1", "Rollback", id);
+        FakeDatabase.Call next = harness.primary.nextCall();
+        assertThat(next.request().hasRollbackTransaction()).isTrue();
+        next.respondEnded(1, 5);
+        assertThat(rollback.join().getEffect()).isEqualTo(Effect.DONE);
+    }
+
     @ParameterizedTest
     @CsvSource({
         "p1, p1:1:00, UNKNOWN_TRANSACTION, NOT_RUN",
@@ -134,12 +152,27 @@
     }
 
     private CompletableFuture<ExecuteResponse> execute(String proxyId, String id) {
+        return execute(proxyId, id, "");
+    }
+
+    private CompletableFuture<ExecuteResponse> execute(String proxyId, String id, String sessionToken) {
         return harness.execute(
-                proxyId, ProxyHarness.write("").toBuilder().setTransactionId(id).build());
+                proxyId,
+                ProxyHarness.write("").toBuilder()
+                        .setTransactionId(id)
+                        .setSessionToken(sessionToken)
+                        .build());
     }
 
     private CompletableFuture<ExecuteResponse> end(String proxyId, String method, String id) {
-        EndRequest request = EndRequest.newBuilder().setTransactionId(id).build();
+        return end(proxyId, method, id, "");
+    }
+
+    private CompletableFuture<ExecuteResponse> end(String proxyId, String method, String id, String sessionToken) {
+        EndRequest request = EndRequest.newBuilder()
+                .setTransactionId(id)
+                .setSessionToken(sessionToken)
+                .build();
         return harness.call(proxyId, method, request, ExecuteResponse.getDefaultInstance());
     }
 }
