An error in a handler does not end an event loop's thread

What operators would see: a process that accepts work and does none, after an AssertionError, LinkageError or StackOverflowError in one handler (reported by operators of similar systems; EventLoopThreadTest fails first for these three). Change: these errors are logged like exceptions. Other errors of the virtual machine still end the thread.

--- a/protocol/src/main/java/org/hornbeamspread/runtime/EventLoopThread.java
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/EventLoopThread.java
@@ -121,7 +121,7 @@
     private void runAndLogFailure(Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | AssertionError | LinkageError | StackOverflowError e) {
             LOG.log(Level.ERROR, "event loop " + thread.getName() + " failed in a handler or a tick", e);
         }
     }
