Updates to proxies contain what changed, and a proxy that joins or leaves changes nothing else

Cause: the number of proxies was part of the versioned state, so that each proxy that joined or left made control send all 44 instances to all proxies at the next tick; so did each change of one instance. Each request also repeated observations of primaries that the proxy had not used. Change: PublishedView keeps the version of each instance's last change and sends a delta to a proxy that has a version of the same leader and accepts deltas; the count goes with every update; old observations (over 5 s) and an unused id are left out. The check of WatchingProxiesTest that used a joining proxy as its change uses a joining instance now, and three cases are new.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -12,6 +12,7 @@
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.ControlState;
+import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
@@ -41,12 +42,8 @@
 
     private final Clock clock;
     private final Map<String, Watcher> watchers = new HashMap<>();
+    private final PublishedView view = new PublishedView();
     private long leaderTerm;
-    private long systemVersion;
-
-    /** The update of the current {@link #systemVersion}. */
-    private SystemUpdate latestUpdate = SystemUpdate.getDefaultInstance();
-
     private ControlState state = ControlState.getDefaultInstance();
 
     /**
@@ -107,8 +104,7 @@
 
     void onLeadershipGained(long term) {
         leaderTerm = term;
-        systemVersion = 0;
-        latestUpdate = SystemUpdate.getDefaultInstance();
+        view.reset();
     }
 
     void watch(WatchSystem request, Consumer<Envelope> callback) {
@@ -128,26 +124,14 @@
      */
     void publish(ControlState newState, List<RegisteredInstance> visibleInstances, List<ControlMember> members) {
         state = newState;
-        SystemUpdate.Builder update = SystemUpdate.newBuilder()
-                .setChanged(true)
-                .addAllInstances(visibleInstances)
-                .setProxies(liveProxies());
-        members.stream()
+        List<Endpoint> peers = members.stream()
                 .map(ControlMember::getPeer)
                 .filter(peer -> !peer.getHost().isEmpty())
-                .forEach(update::addControlPeers);
-        for (GroupTerm group : newState.getGroupsList()) {
-            chosenInstanceId(group)
-                    .ifPresent(id -> update.addPromoted(PromotedInstance.newBuilder()
-                            .setService(group.getGroup())
-                            .setInstanceId(id)
-                            .setFencingToken(group.getTerm())));
-        }
-        SystemUpdate newUpdate = update.build();
-        if (!newUpdate.equals(latestUpdate)) {
-            latestUpdate = newUpdate;
-            systemVersion++;
-        }
+                .toList();
+        List<PromotedInstance> promoted = newState.getGroupsList().stream()
+                .flatMap(group -> promotedInstance(group).stream())
+                .toList();
+        view.publish(visibleInstances, peers, promoted);
         watchers.values().stream()
                 .filter(watcher -> watcher.replyCallback.isPresent() && !isUpToDate(watcher.request))
                 .forEach(this::sendUpdate);
@@ -157,10 +141,15 @@
      * Returns the instance that was chosen last, even before its promotion is requested and while another one is being
      * chosen: no commit of the previous primary may be acknowledged any more.
      */
-    private static Optional<String> chosenInstanceId(GroupTerm group) {
+    private static Optional<PromotedInstance> promotedInstance(GroupTerm group) {
         return Optional.of(group.getPrimaryId())
                 .filter(id -> !id.isEmpty())
-                .or(() -> group.getUnsettledIdsList().stream().findFirst());
+                .or(() -> group.getUnsettledIdsList().stream().findFirst())
+                .map(id -> PromotedInstance.newBuilder()
+                        .setService(group.getGroup())
+                        .setInstanceId(id)
+                        .setFencingToken(group.getTerm())
+                        .build());
     }
 
     /** Answers the watch requests whose hold time is over, and drops proxies that have expired. */
@@ -227,17 +216,16 @@
 
     private boolean isUpToDate(WatchSystem request) {
         return request.getLeaderTerm() == leaderTerm
-                && request.getSystemVersion() == systemVersion
+                && request.getSystemVersion() == view.version()
                 && request.getConfigurationVersion() == state.getRoutes().getVersion();
     }
 
     private void sendUpdate(Watcher watcher) {
         WatchSystem request = watcher.request;
         boolean sameTerm = request.getLeaderTerm() == leaderTerm;
-        SystemUpdate.Builder update = sameTerm && request.getSystemVersion() == systemVersion
-                ? SystemUpdate.newBuilder()
-                : latestUpdate.toBuilder();
-        update.setLeaderTerm(leaderTerm).setSystemVersion(systemVersion).setHeldMs((int)
+        boolean comparable = sameTerm && (request.getAcceptsDeltas() || request.getSystemVersion() == view.version());
+        SystemUpdate.Builder update = comparable ? view.since(request.getSystemVersion()) : view.all();
+        update.setLeaderTerm(leaderTerm).setProxies(liveProxies()).setHeldMs((int)
                 (clock.millis() - watcher.receivedAtMs));
         addPositions(update);
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
@@ -254,7 +242,6 @@
         long nowMs = clock.millis();
         proofs.forEach((service, proof) -> update.addPositions(PrimaryPosition.newBuilder()
                 .setService(service)
-                .setInstanceId(proof.instanceId())
                 .setPosition(Envelopes.position(proof.position()))
                 .setAgeMs((int) (nowMs - proof.probeSentAtMs()))));
     }
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -12,6 +12,7 @@
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
+import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
@@ -19,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A change that is not sent to a proxy immediately leaves the proxy with an outdated primary, position or configuration; wrongly
@@ -52,8 +54,12 @@
     void upToDateProxyIsAnsweredOnChangeOrAfterTheHoldTime() {
         proxies.watch(upToDateWatchRequest("p1").build(), answers::add);
         assertThat(answers).isEmpty();
-        proxies.publish(STATE_WITH_VERSION_7, List.of(), List.of());
+        RegisteredInstance joined =
+                RegisteredInstance.newBuilder().setInstanceId("b").build();
+        proxies.publish(STATE_WITH_VERSION_7, List.of(joined), List.of());
         assertThat(answers).hasSize(1);
+        assertThat(lastUpdate().getInstancesList()).containsExactly(joined);
+        proxies.publish(STATE_WITH_VERSION_7, List.of(joined), List.of());
 
         proxies.watch(
                 upToDateWatchRequest("p1")
@@ -70,6 +76,40 @@
         assertThat(lastUpdate().getHeldMs()).isEqualTo(250);
     }
 
+    /** While 94 proxies start, each one that joined made control send all instances to all others. */
+    @Test
+    void joiningProxiesOnlyChangeTheCountInTheNextUpdate() {
+        proxies.watch(upToDateWatchRequest("p1").build(), answers::add);
+        proxies.watch(upToDateWatchRequest("p2").build(), answers::add);
+        proxies.publish(STATE_WITH_VERSION_7, List.of(), List.of());
+        assertThat(answers).isEmpty();
+
+        advance(250);
+        proxies.answerExpiredWatches();
+        assertThat(lastUpdate().getProxies()).isEqualTo(2);
+        assertThat(lastUpdate().getChanged()).isFalse();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void proxyThatAcceptsNoDeltasReceivesTheWholeList(boolean acceptsDeltas) {
+        RegisteredInstance a =
+                RegisteredInstance.newBuilder().setInstanceId("a").build();
+        RegisteredInstance b =
+                RegisteredInstance.newBuilder().setInstanceId("b").build();
+        proxies.publish(STATE_WITH_VERSION_7, List.of(a), List.of());
+        proxies.publish(STATE_WITH_VERSION_7, List.of(a, b), List.of());
+        proxies.watch(
+                upToDateWatchRequest("p1")
+                        .setSystemVersion(2)
+                        .setAcceptsDeltas(acceptsDeltas)
+                        .build(),
+                answers::add);
+
+        assertThat(lastUpdate().getDelta()).isEqualTo(acceptsDeltas);
+        assertThat(lastUpdate().getInstancesCount()).isEqualTo(acceptsDeltas ? 1 : 2);
+    }
+
     /** Sent before its promotion is requested: the previous primary may lead until the promotion takes effect. */
     @ParameterizedTest
     @CsvSource({"'', '', false, 0", "b, '', false, 1", "b, '', true, 1", "'', b, false, 1"})
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -50,6 +50,9 @@
     /** Poll interval while reads need positions from control, which requests them from the primaries about as often. */
     private static final long POSITIONS_POLL_INTERVAL_MS = 200;
 
+    /** Longer than the times after which control replaces a primary without proof, or with stalled writes. */
+    private static final long MAX_REPORTED_PROOF_AGE_MS = 5_000;
+
     private static final long MAX_BACKOFF_MS = 400;
 
     /** A proxy without a configuration cannot serve, and polls more often. */
@@ -65,6 +68,7 @@
     private final Clock clock;
     private final EventLog events;
     private RouteConfiguration configuration = RouteConfiguration.NONE;
+    private final Map<String, DatabaseInstance> instancesById = new TreeMap<>();
     private List<Endpoint> controlPeers = List.of();
     private long leaderTerm;
     private long systemVersion;
@@ -148,8 +152,10 @@
                 .setSystemVersion(systemVersion)
                 .setConfigurationVersion(configuration.version())
                 .setPositionsWanted(engine.needsSharedPositions())
+                .setAcceptsDeltas(true)
                 .setDraining(!engine.isReady() && engine.view().isLoaded());
-        engine.primaryHealth()
+        engine.primaryHealth().stream()
+                .filter(SystemWatch::isInformative)
                 .forEach(health -> request.addObservations(PrimaryObservation.newBuilder()
                         .setInstanceId(health.instanceId())
                         .setSinceSuccessMs((int) health.sinceLastProofMs())
@@ -160,6 +166,13 @@
         return Envelope.newBuilder().setWatchSystem(request).build();
     }
 
+    /** Whether an observation differs from that of a proxy that has not used the primary lately. */
+    private static boolean isInformative(SessionEngine.PrimaryHealth health) {
+        return health.sinceLastProofMs() <= MAX_REPORTED_PROOF_AGE_MS
+                || health.oldestPendingWriteMs() > 0
+                || health.unreachableMs() > 0;
+    }
+
     private void onUpdate(SystemUpdate update) {
         backoffMs = INITIAL_BACKOFF_MS;
         if (update.getLeaderTerm() < leaderTerm) {
@@ -188,14 +201,15 @@
                     "leader_term",
                     leaderTerm);
         }
+        int proxyCount = update.getProxies() > 0
+                ? proxyCountEstimate.observe(update.getProxies(), clock.millis())
+                : proxyCountEstimate.current(clock.millis());
         if (update.getChanged()) {
             controlPeers = update.getControlPeersList();
-            onViewChanged(update);
-        } else if (newConfiguration
-                || proxyCountEstimate.current(clock.millis()) != engine.view().proxyCount()) {
+            onViewChanged(update, proxyCount);
+        } else if (newConfiguration || proxyCount != engine.view().proxyCount()) {
             SystemView view = engine.view();
-            engine.onView(SystemView.of(
-                    configuration, view.instances(), view.promotedIds(), proxyCountEstimate.current(clock.millis())));
+            engine.onView(SystemView.of(configuration, view.instances(), view.promotedIds(), proxyCount));
         }
         // Control sent the update at this time or later: the time on the network is not known.
         long sentAtMs = Math.min(requestedAtMs + update.getHeldMs(), clock.millis());
@@ -213,9 +227,15 @@
         }
     }
 
-    private void onViewChanged(SystemUpdate update) {
-        List<DatabaseInstance> instances =
-                update.getInstancesList().stream().map(RouteMessages::instance).toList();
+    private void onViewChanged(SystemUpdate update, int proxyCount) {
+        if (!update.getDelta()) {
+            instancesById.clear();
+        }
+        update.getRemovedInstanceIdsList().forEach(instancesById::remove);
+        update.getInstancesList().stream()
+                .map(RouteMessages::instance)
+                .forEach(instance -> instancesById.put(instance.instanceId(), instance));
+        List<DatabaseInstance> instances = List.copyOf(instancesById.values());
         Map<String, String> promoted = new TreeMap<>();
         for (PromotedInstance instance : update.getPromotedList()) {
             promoted.put(instance.getService(), instance.getInstanceId());
@@ -231,9 +251,8 @@
                 "draining",
                 instances.stream().filter(DatabaseInstance::draining).count(),
                 "proxies",
-                update.getProxies());
-        engine.onView(SystemView.of(
-                configuration, instances, promoted, proxyCountEstimate.observe(update.getProxies(), clock.millis())));
+                proxyCount);
+        engine.onView(SystemView.of(configuration, instances, promoted, proxyCount));
     }
 
     private void onFailure(Endpoint target, FailureException failure) {
