A malformed update does not end a proxy's watch of control

What callers would see: a proxy that keeps its view, with databases long gone, until it is restarted, after one update that it could not read, or while its settings name no control member (reported by operators of similar systems: one malformed message). Cause: an exception in the continuation ended the chain of requests; part of the update was applied before it was thrown. Change: an update is parsed before anything is applied; one that cannot be applied is logged (update_refused) and the whole state is requested after a backoff. Without a member to request, the watch waits. SystemWatchTest fails first, and covers deltas.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -113,7 +113,12 @@
     }
 
     private void poll() {
-        Endpoint target = leader.orElseGet(this::nextPeer);
+        Optional<Endpoint> known = leader.or(this::nextPeer);
+        if (known.isEmpty()) {
+            executor.schedule(this::poll, MAX_BACKOFF_MS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        Endpoint target = known.get();
         CompletableFuture<PeerConnection> peer = connection
                 .filter(PeerConnection::isOpen)
                 .map(CompletableFuture::completedFuture)
@@ -128,7 +133,7 @@
                 .whenCompleteAsync(
                         (response, error) -> {
                             if (error == null) {
-                                onUpdate(response.getSystemUpdate());
+                                onResponse(target, response.getSystemUpdate());
                             } else {
                                 onFailure(target, FailureException.of(error));
                             }
@@ -136,11 +141,14 @@
                         executor);
     }
 
-    private Endpoint nextPeer() {
+    /** The next control member to request; empty while the settings name none. */
+    private Optional<Endpoint> nextPeer() {
         Set<Endpoint> endpoints = new LinkedHashSet<>(controlPeers);
         endpoints.addAll(seeds.get());
         List<Endpoint> all = new ArrayList<>(endpoints);
-        return all.get(Math.floorMod(nextPeerIndex++ + (int) incarnation, all.size()));
+        return all.isEmpty()
+                ? Optional.empty()
+                : Optional.of(all.get(Math.floorMod(nextPeerIndex++ + (int) incarnation, all.size())));
     }
 
     private Envelope buildRequest() {
@@ -173,14 +181,37 @@
                 || health.unreachableMs() > 0;
     }
 
-    private void onUpdate(SystemUpdate update) {
-        backoffMs = INITIAL_BACKOFF_MS;
+    /** Applies an update. One that cannot be applied must not end the polling: the whole state is requested instead. */
+    private void onResponse(Endpoint target, SystemUpdate update) {
         if (update.getLeaderTerm() < leaderTerm) {
-            onFailure(
-                    controlPeers.isEmpty() ? Endpoint.getDefaultInstance() : controlPeers.get(0),
-                    new FailureException(FailureType.NOT_LEADER, ""));
+            onFailure(target, new FailureException(FailureType.NOT_LEADER, ""));
             return;
         }
+        try {
+            onUpdate(update);
+        } catch (RuntimeException e) {
+            FailureException failure = FailureException.of(e);
+            events.record(
+                    "update_refused",
+                    "peer",
+                    target.getHost(),
+                    "system_version",
+                    update.getSystemVersion(),
+                    "cause",
+                    failure.getMessage());
+            systemVersion = 0;
+            onFailure(target, failure);
+            return;
+        }
+        backoffMs = INITIAL_BACKOFF_MS;
+        if (engine.needsSharedPositions()) {
+            executor.schedule(this::poll, POSITIONS_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        } else {
+            poll();
+        }
+    }
+
+    private void onUpdate(SystemUpdate update) {
         engine.setControlReachable(true);
         if (!controlReachable) {
             controlReachable = true;
@@ -220,21 +251,16 @@
                     requestEpoch,
                     Envelopes.position(primaryPosition.getPosition()));
         }
-        if (engine.needsSharedPositions()) {
-            executor.schedule(this::poll, POSITIONS_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        } else {
-            poll();
-        }
     }
 
     private void onViewChanged(SystemUpdate update, int proxyCount) {
+        List<DatabaseInstance> received =
+                update.getInstancesList().stream().map(RouteMessages::instance).toList();
         if (!update.getDelta()) {
             instancesById.clear();
         }
         update.getRemovedInstanceIdsList().forEach(instancesById::remove);
-        update.getInstancesList().stream()
-                .map(RouteMessages::instance)
-                .forEach(instance -> instancesById.put(instance.instanceId(), instance));
+        received.forEach(instance -> instancesById.put(instance.instanceId(), instance));
         List<DatabaseInstance> instances = List.copyOf(instancesById.values());
         Map<String, String> promoted = new TreeMap<>();
         for (PromotedInstance instance : update.getPromotedList()) {
--- /dev/null
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -0,0 +1,136 @@
+package org.hornbeamspread.proxy.session;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.hornbeamspread.core.misc.EventLog;
+import org.hornbeamspread.core.misc.ManualClock;
+import org.hornbeamspread.core.route.DatabaseInstance;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.RegisteredInstance;
+import org.hornbeamspread.protocol.schema.SystemUpdate;
+import org.hornbeamspread.protocol.schema.WatchSystem;
+import org.hornbeamspread.transport.PeerServer;
+import org.hornbeamspread.transport.PeerTransport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A watch that stops after one bad message leaves its proxy with an old view for as long as the process runs. */
+final class SystemWatchTest {
+    private static final int TIMEOUT_S = 20;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final PeerTransport transport = new PeerTransport(group);
+    private final ManualClock clock = new ManualClock();
+    private final BlockingQueue<Watch> watches = new LinkedBlockingQueue<>();
+    private final PeerServer leader = transport
+            .listen(
+                    Endpoint.newBuilder().setHost("127.0.0.1").build(),
+                    (connection, request, answer) -> watches.add(new Watch(request.getWatchSystem(), answer)))
+            .join();
+    private final SessionEngine engine = new SessionEngine(
+            "proxy-1",
+            "domain",
+            Map.of(),
+            (instance, timeout) -> new CompletableFuture<>(),
+            clock,
+            clock,
+            group.next(),
+            EventLog.NONE,
+            new PrometheusRegistry());
+
+    private record Watch(WatchSystem request, Consumer<Envelope> answer) {
+        void answer(SystemUpdate.Builder update) {
+            answer.accept(Envelope.newBuilder().setSystemUpdate(update).build());
+        }
+    }
+
+    @AfterEach
+    void close() {
+        leader.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void deltasAreAppliedToTheInstancesThatTheProxyHas() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addInstances(instance("a", 1)).addInstances(instance("b", 1)));
+        nextWatch()
+                .answer(update(2).setDelta(true).addInstances(instance("c", 3)).addRemovedInstanceIds("a"));
+
+        assertThat(nextWatch().request().getSystemVersion()).isEqualTo(2);
+        assertThat(instanceIds()).containsExactly("b", "c").inOrder();
+    }
+
+    @Test
+    void watchContinuesAfterAMalformedUpdateAndRequestsTheWholeState() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addInstances(instance("a", 1)));
+        nextWatch()
+                .answer(update(2)
+                        .setDelta(true)
+                        .addInstances(instance("b", 70_000))
+                        .addRemovedInstanceIds("a"));
+
+        Watch retried = nextWatch();
+        assertThat(retried.request().getSystemVersion()).isEqualTo(0);
+        assertThat(instanceIds()).containsExactly("a");
+        retried.answer(update(2).addInstances(instance("b", 1)));
+        nextWatch();
+        assertThat(instanceIds()).containsExactly("b");
+    }
+
+    private void start() {
+        Endpoint endpoint = Endpoint.newBuilder()
+                .setHost("127.0.0.1")
+                .setPort(leader.port())
+                .build();
+        new SystemWatch(
+                        "proxy-1",
+                        "domain",
+                        1,
+                        engine,
+                        transport,
+                        group.next(),
+                        () -> List.of(endpoint),
+                        clock,
+                        EventLog.NONE)
+                .start();
+    }
+
+    private Watch nextWatch() throws InterruptedException {
+        Watch watch = watches.poll(TIMEOUT_S, TimeUnit.SECONDS);
+        assertThat(watch).isNotNull();
+        return watch;
+    }
+
+    private List<String> instanceIds() {
+        return CompletableFuture.supplyAsync(() -> engine.view().instances(), group.next()).join().stream()
+                .map(DatabaseInstance::instanceId)
+                .toList();
+    }
+
+    private static SystemUpdate.Builder update(long version) {
+        return SystemUpdate.newBuilder()
+                .setLeaderTerm(1)
+                .setSystemVersion(version)
+                .setChanged(true);
+    }
+
+    private static RegisteredInstance instance(String id, int port) {
+        return RegisteredInstance.newBuilder()
+                .setInstanceId(id)
+                .setService("ledger")
+                .setEndpoint(Endpoint.newBuilder().setHost("10.0.0.1").setPort(port))
+                .build();
+    }
+}
