Proxies are told at once when their number has grown by half

Cause: proxies that started first counted few others until their next update, up to 800 ms later, and took connections accordingly.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -37,6 +37,12 @@
     /** The hold time grows with the number of proxies, so that all together send about 60 watch requests a second. */
     private static final long HOLD_MS_PER_PROXY = 15;
 
+    /**
+     * Growth of the number of proxies at which a proxy is answered at once. While many start, a proxy that knows of few takes too
+     * large a share of the databases' connections.
+     */
+    private static final double PROXY_COUNT_GROWTH = 1.5;
+
     /** A proxy that has sent no watch request for this long is dropped. */
     private static final long PROXY_EXPIRY_MS = 10_000;
 
@@ -132,8 +138,10 @@
                 .flatMap(group -> promotedInstance(group).stream())
                 .toList();
         view.publish(visibleInstances, peers, promoted);
+        int proxyCount = liveProxies();
         watchers.values().stream()
-                .filter(watcher -> watcher.replyCallback.isPresent() && !isUpToDate(watcher.request))
+                .filter(watcher -> watcher.replyCallback.isPresent())
+                .filter(watcher -> !isUpToDate(watcher.request) || watcher.hasProxyCountGrown(proxyCount))
                 .forEach(this::sendUpdate);
     }
 
@@ -221,11 +229,12 @@
     }
 
     private void sendUpdate(Watcher watcher) {
+        watcher.sentProxyCount = liveProxies();
         WatchSystem request = watcher.request;
         boolean sameTerm = request.getLeaderTerm() == leaderTerm;
         boolean comparable = sameTerm && (request.getAcceptsDeltas() || request.getSystemVersion() == view.version());
         SystemUpdate.Builder update = comparable ? view.since(request.getSystemVersion()) : view.all();
-        update.setLeaderTerm(leaderTerm).setProxies(liveProxies()).setHeldMs((int)
+        update.setLeaderTerm(leaderTerm).setProxies(watcher.sentProxyCount).setHeldMs((int)
                 (clock.millis() - watcher.receivedAtMs));
         addPositions(update);
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
@@ -252,7 +261,14 @@
         private WatchSystem request = WatchSystem.getDefaultInstance();
         private long receivedAtMs;
 
+        /** The number of proxies in the last update to this proxy; 0 before the first. */
+        private int sentProxyCount;
+
         /** Receives the response to the open watch request; empty when no request is open. */
         private Optional<Consumer<Envelope>> replyCallback = Optional.empty();
+
+        private boolean hasProxyCountGrown(int proxyCount) {
+            return sentProxyCount > 0 && proxyCount > PROXY_COUNT_GROWTH * sentProxyCount;
+        }
     }
 }
