--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.hornbeamspread.control.ReplicatedLog;
-import org.hornbeamspread.core.failover.PrimaryProof;
 import org.hornbeamspread.core.failover.SyncFailoverEffect;
 import org.hornbeamspread.core.failover.SyncFailoverTimings;
 import org.hornbeamspread.core.failover.SyncGroupFailover;
@@ -34,15 +33,9 @@
 
 /** Runs a {@link SyncGroupFailover} for each service, and applies its effects. Confined to the routes thread. */
 final class ServicePromotions {
-    /** Interval of the probes of each primary. A probe costs a connection and some bytes, but no slot. */
-    private static final long PROBE_INTERVAL_MS = 250;
-
     /** Share of the proxies. A primary that they can't reach is replaced, even if all other proxies can. */
     private static final double UNREACHABLE_SHARE = 0.34;
 
-    /** Refused probes in a row until the primary counts as refusing: one may hit a process that does not listen yet. */
-    private static final int REQUIRED_CONSECUTIVE_REFUSALS = 2;
-
     /** Time after which a proxy counts as unable to reach a primary. Longer than two connection attempts. */
     private static final long UNREACHABLE_AFTER_MS = 900;
 
@@ -119,25 +112,13 @@
     /** The database group of one service, and its promotions. */
     private final class DatabaseGroup {
         private final String service;
+        private final PrimaryProbe probe;
         private final SyncGroupFailover failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT);
         private List<DatabaseInstance> members = List.of();
         private List<LostCopy> lostCopies = List.of();
 
-        /** The latest proof from this leader's own probes. */
-        private Optional<PrimaryProof> latestProof = Optional.empty();
-
         private long evidenceLoggedAtMs;
-        private long probeSentAtMs;
-
-        /** The number of probes in a row for which the primary's address refused a connection. */
-        private int consecutiveRefusals;
-
         private long concludedAtMs = Long.MIN_VALUE / 2;
-        private long latestProofAtMs = Long.MIN_VALUE / 4;
-
-        /** The instance that gave the latest proof. */
-        private String provenInstanceId = "";
-
         private boolean settled = true;
         private boolean discarded;
         private Map<String, Long> lastAnnouncedAtMs = Map.of();
@@ -161,6 +142,7 @@
 
         DatabaseGroup(String service) {
             this.service = service;
+            this.probe = new PrimaryProbe(service, databases, watchingProxies, clock, routesThread);
         }
 
         void tick(Supplier<ControlState> state, InstanceRegistry registry, Map<String, Long> announcementTimesMs) {
@@ -170,7 +152,7 @@
                 return snapshot(state.get());
             };
             refreshMembers(registry);
-            probePrimary(clock.millis());
+            primary().ifPresent(probe::probe);
             advance();
         }
 
@@ -231,10 +213,9 @@
                             lostCopies.stream().anyMatch(copy -> copy.address().equals(member.address()))))
                     .toList();
             Optional<String> primaryId = primary().map(DatabaseInstance::instanceId);
-            boolean provenByLeader = primaryId.equals(Optional.of(provenInstanceId));
-            long proofAgeMs = Math.min(
-                    provenByLeader ? nowMs - latestProofAtMs : Long.MAX_VALUE / 4,
-                    primaryId.map(watchingProxies::proofAgeMs).orElse(Long.MAX_VALUE / 4));
+            long proofAgeMs = primaryId
+                    .map(id -> Math.min(probe.proofAgeMs(id), watchingProxies.proofAgeMs(id)))
+                    .orElse(Long.MAX_VALUE / 4);
             return new GroupSnapshot(
                     record.getTerm(),
                     record.getPrimaryId().isEmpty() ? Optional.empty() : Optional.of(record.getPrimaryId()),
@@ -246,10 +227,10 @@
                             .filter(copy -> members.stream()
                                     .noneMatch(member -> member.address().equals(copy.address())))
                             .toList(),
-                    latestProof,
+                    probe.latestProof(),
                     proofAgeMs,
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
-                    consecutiveRefusals >= REQUIRED_CONSECUTIVE_REFUSALS,
+                    probe.isRefused(),
                     primaryId.filter(this::isUnreachableFromProxies).isPresent());
         }
 
@@ -270,30 +251,6 @@
                             .thenComparing(member -> -lastAnnouncedAtMs.getOrDefault(member.instanceId(), 0L)));
         }
 
-        private void probePrimary(long nowMs) {
-            Optional<DatabaseInstance> primary = primary();
-            if (primary.isEmpty() || nowMs - probeSentAtMs < PROBE_INTERVAL_MS) {
-                return;
-            }
-            probeSentAtMs = nowMs;
-            String instanceId = primary.get().instanceId();
-            long clockEpoch = watchingProxies.clockEpoch();
-            databases
-                    .probePrimary(primary.get())
-                    .whenComplete((position, error) -> routesThread.accept(() -> {
-                        boolean refused =
-                                error != null && FailureException.of(error).type() == FailureType.CONNECTION_REFUSED;
-                        consecutiveRefusals = refused ? consecutiveRefusals + 1 : 0;
-                        if (error == null && position.isPresent()) {
-                            latestProofAtMs =
-                                    provenInstanceId.equals(instanceId) ? Math.max(latestProofAtMs, nowMs) : nowMs;
-                            provenInstanceId = instanceId;
-                            latestProof = Optional.of(new PrimaryProof(position.get(), nowMs));
-                            watchingProxies.onProof(service, instanceId, position.get(), nowMs, clockEpoch);
-                        }
-                    }));
-        }
-
         private void apply(SyncFailoverEffect effect, GroupSnapshot snapshot) {
             metrics.onPromotionStep(effect);
             if (!(effect instanceof SyncFailoverEffect.Resume)) {
