--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -38,10 +38,11 @@
     private static final long HOLD_MS_PER_PROXY = 15;
 
     /**
-     * Growth of the number of proxies at which a proxy is answered at once. While many start, a proxy that knows of few takes too
-     * large a share of the databases' connections.
+     * Growth of the number of proxies, or of the primaries with a known position, at which a proxy is answered at once. While
+     * everything starts, a proxy that has an old count takes too large a share of the databases' connections, and one without
+     * positions asks each primary itself.
      */
-    private static final double PROXY_COUNT_GROWTH = 1.5;
+    private static final double URGENT_GROWTH = 1.5;
 
     /** A proxy that has sent no watch request for this long is dropped. */
     private static final long PROXY_EXPIRY_MS = 10_000;
@@ -139,9 +140,10 @@
                 .toList();
         view.publish(visibleInstances, peers, promoted);
         int proxyCount = liveProxies();
+        int positionCount = proofs.size();
         watchers.values().stream()
                 .filter(watcher -> watcher.replyCallback.isPresent())
-                .filter(watcher -> !isUpToDate(watcher.request) || watcher.hasProxyCountGrown(proxyCount))
+                .filter(watcher -> !isUpToDate(watcher.request) || watcher.hasUrgentNews(proxyCount, positionCount))
                 .forEach(this::sendUpdate);
     }
 
@@ -230,6 +232,7 @@
 
     private void sendUpdate(Watcher watcher) {
         watcher.sentProxyCount = liveProxies();
+        watcher.sentPositionCount = proofs.size();
         WatchSystem request = watcher.request;
         boolean sameTerm = request.getLeaderTerm() == leaderTerm;
         boolean comparable = sameTerm && (request.getAcceptsDeltas() || request.getSystemVersion() == view.version());
@@ -264,11 +267,15 @@
         /** The number of proxies in the last update to this proxy; 0 before the first. */
         private int sentProxyCount;
 
+        /** The number of positions in the last update to this proxy. */
+        private int sentPositionCount;
+
         /** Receives the response to the open watch request; empty when no request is open. */
         private Optional<Consumer<Envelope>> replyCallback = Optional.empty();
 
-        private boolean hasProxyCountGrown(int proxyCount) {
-            return sentProxyCount > 0 && proxyCount > PROXY_COUNT_GROWTH * sentProxyCount;
+        private boolean hasUrgentNews(int proxyCount, int positionCount) {
+            return (sentProxyCount > 0 && proxyCount > URGENT_GROWTH * sentProxyCount)
+                    || positionCount > URGENT_GROWTH * sentPositionCount;
         }
     }
 }
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -99,6 +99,31 @@
         });
     }
 
+    /** After all have restarted, the first update of a proxy contains no position: it then asked all primaries itself. */
+    @ParameterizedTest
+    @CsvSource({"0, 1, true", "4, 6, false", "4, 7, true"})
+    void positionsThatBecomeKnownAreSentAtOnce(int before, int after, boolean expectedUpdate) {
+        addProofs(0, before);
+        watch(0, 1);
+        advance(250);
+        proxies.answerExpiredWatches();
+        watch(0, 1);
+        answers.clear();
+
+        addProofs(before, after);
+        proxies.publish(STATE_WITH_VERSION_7, List.of(), List.of());
+
+        assertThat(!answers.isEmpty()).isEqualTo(expectedUpdate);
+        answers.forEach(answer ->
+                assertThat(answer.getSystemUpdate().getPositionsCount()).isEqualTo(after));
+    }
+
+    private void addProofs(int fromIndex, int toIndex) {
+        for (int i = fromIndex; i < toIndex; i++) {
+            proxies.onProof("service" + i, "p", new LogPosition(2, 40), clock.millis(), proxies.clockEpoch());
+        }
+    }
+
     /** Opens a watch of each proxy from one index to another. */
     private void watch(int fromIndex, int toIndex) {
         for (int i = fromIndex; i < toIndex; i++) {
