--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -237,8 +237,8 @@
         boolean sameTerm = request.getLeaderTerm() == leaderTerm;
         boolean comparable = sameTerm && (request.getAcceptsDeltas() || request.getSystemVersion() == view.version());
         SystemUpdate.Builder update = comparable ? view.since(request.getSystemVersion()) : view.all();
-        update.setLeaderTerm(leaderTerm).setProxies(watcher.sentProxyCount).setHeldMs((int)
-                (clock.millis() - watcher.receivedAtMs));
+        int heldMs = (int) (clock.millis() - watcher.receivedAtMs);
+        update.setLeaderTerm(leaderTerm).setProxies(watcher.sentProxyCount).setHeldMs(heldMs);
         addPositions(update);
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
             update.setConfiguration(state.getRoutes().toBuilder().clearSource());
