--- a/core/src/test/java/org/hornbeamspread/core/admission/ConnectionLoad.java
+++ b/core/src/test/java/org/hornbeamspread/core/admission/ConnectionLoad.java
@@ -48,6 +48,7 @@
         return (double) refused / requests;
     }
 
+    /** Whether a request gets a connection. Others are not closed while it waits, so that refusals are overestimated. */
     private boolean serve(RandomGenerator random, int proxy, long nowMs) {
         long holdMs = random.nextDouble() < TRANSACTION_FRACTION ? TRANSACTION_MS : STATEMENT_MS;
         for (long startMs = nowMs; startMs <= nowMs + MAX_WAIT_MS; startMs += RETRY_MS) {
@@ -70,15 +71,15 @@
 
     private void closeIdle(ConnectionShare[] shares, long nowMs) {
         for (int proxy = 0; proxy < proxies; proxy++) {
-            boolean retained = !shares[proxy].retainsIdle();
+            boolean mayRetain = shares[proxy].retainsIdle();
             for (int i = 0; i < busyUntilMs[proxy].length; i++) {
                 boolean expired =
                         busyUntilMs[proxy][i] > 0 && nowMs - busyUntilMs[proxy][i] > shares[proxy].idleTimeoutMs();
-                if (expired && retained) {
+                if (expired && mayRetain) {
+                    mayRetain = false;
+                } else if (expired) {
                     busyUntilMs[proxy][i] = 0;
                     open--;
-                } else if (expired) {
-                    retained = true;
                 }
             }
         }
