--- a/review/standin/Databases.java
+++ b/review/standin/Databases.java
@@ -629,6 +629,20 @@
             }
         }
 
+        /** Returns the body of a 200 response; empty without one. */
+        static String read(String url, int timeoutMs) {
+            try {
+                HttpURLConnection call = (HttpURLConnection) new URL(url).openConnection();
+                call.setConnectTimeout(timeoutMs);
+                call.setReadTimeout(timeoutMs);
+                return call.getResponseCode() == 200
+                        ? new String(call.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                        : "";
+            } catch (IOException e) {
+                return "";
+            }
+        }
+
         static int get(String url, int timeoutMs) {
             try {
                 HttpURLConnection call = (HttpURLConnection) new URL(url).openConnection();
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -15,6 +15,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -25,6 +27,8 @@
     /** Databases of a service, as at the small sites. */
     private static final int DATABASES_PER_SERVICE = 3;
 
+    private static final long RESTART_DELAY_MS = 500;
+
     private static final String[] SERVICES = {"ledger-1", "ledger-2", "ledger-3"};
 
     final int frontPort = freePort();
@@ -40,12 +44,20 @@
     final Databases databases;
 
     private final List<Databases> services = new ArrayList<>();
-    final Map<String, Process> processes = new LinkedHashMap<>();
+    final Map<String, Process> processes = new ConcurrentHashMap<>();
+
+    /** How often each process has ended. */
+    final Map<String, Integer> ends = new ConcurrentHashMap<>();
+
+    private volatile boolean closing;
     private final String prefix;
     private final Path folder;
     private final Path root = Path.of("").toAbsolutePath();
     private final HttpServer platform;
 
+    /** Number of routes that the configuration has beside one of each kind. */
+    int addedRoutes;
+
     Deployment(Record record) throws IOException {
         this.record = record;
         this.prefix = "127." + (40 + ProcessHandle.current().pid() % 180) + "." + (1 + (System.nanoTime() >> 8 & 127)) + ".";
@@ -118,6 +130,15 @@
         }
     }
 
+    /** Kills all control processes at once; each starts again after the restart delay. */
+    void killControl() {
+        processes.forEach((name, process) -> {
+            if (name.startsWith("core-")) {
+                process.destroyForcibly();
+            }
+        });
+    }
+
     void startProxy(int number) throws IOException {
         start("front-" + number, "proxy", 20 + number, true);
     }
@@ -143,6 +164,25 @@
 
     /** Starts a process with the command of the deploy file; the settings follow the project's template. */
     private void start(String name, String role, int number, boolean first) throws IOException {
+        Process started = launch(name, role, number, first);
+        // The platform starts a process that ends by itself again, after a short delay.
+        started.onExit().thenAccept(ended -> {
+            if (!closing) {
+                record.write(name, "process ended with status " + ended.exitValue());
+                ends.merge(name, 1, Integer::sum);
+                Record.sleep(RESTART_DELAY_MS);
+                try {
+                    if (!closing) {
+                        start(name, role, number, false);
+                    }
+                } catch (IOException e) {
+                    record.write(name, "did not start again: " + e);
+                }
+            }
+        });
+    }
+
+    private Process launch(String name, String role, int number, boolean first) throws IOException {
         String section = Files.readString(root.resolve("deploy/system.toml")).split("\\[roles\\." + role + "\\]", 2)[1];
         Matcher run = Pattern.compile("run = \"([^\"]+)\"").matcher(section);
         if (!run.find()) {
@@ -156,8 +196,10 @@
         builder.environment().put("HORNBEAMSPREAD_BOOT", settings.toString());
         File log = folder.resolve(name + ".log").toFile();
         builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-        processes.put(name, builder.start());
+        Process started = builder.start();
+        processes.put(name, started);
         record.write(name, "process started");
+        return started;
     }
 
     private String settings(String name, String role, int number, boolean first, Path data) throws IOException {
@@ -188,7 +230,14 @@
     /** Puts a configuration with one route of each kind until it is acknowledged. */
     boolean putConfiguration(int version, long limitMs) {
         String service = databases.service;
-        String body = "{\"version\":" + version + ",\"routes\":["
+        StringBuilder added = new StringBuilder();
+        for (int i = 0; i < addedRoutes; i++) {
+            added.append("{\"name\":\"r-a").append(i).append("\",\"database\":\"added").append(i)
+                    .append("\",\"path_prefix\":\"/\",\"route_type\":\"bounded_staleness\",\"timeout_ms\":1200,")
+                    .append("\"target_latency_ms\":500,\"priority\":1,\"backend\":\"").append(service)
+                    .append("\",\"max_attempts\":2,\"max_staleness_ms\":1500},");
+        }
+        String body = "{\"version\":" + version + ",\"routes\":[" + added
                 + "{\"name\":\"r-1\",\"database\":\"own\",\"path_prefix\":\"/\",\"route_type\":\"read_your_writes\","
                 + "\"timeout_ms\":800,\"target_latency_ms\":1000,\"priority\":2,\"backend\":\"" + service
                 + "\",\"max_attempts\":2,\"max_staleness_ms\":2500},"
@@ -203,7 +252,7 @@
         while (record.nowMs() < endMs) {
             for (String control : databases.controls) {
                 if (Databases.Http.post("http://" + control + "/hornbeamspread/config/put", body, 1_000) == 200) {
-                    record.write("operator", "configuration " + version + " acknowledged");
+                    record.write("operator", "configuration " + version + " acknowledged, " + body.length() + " bytes");
                     return true;
                 }
             }
@@ -212,6 +261,19 @@
         return false;
     }
 
+    /** The version that some control process answers; empty without an answer. */
+    Optional<Integer> readConfiguration() {
+        for (String control : databases.controls) {
+            String body = Databases.Http.read("http://" + control + "/hornbeamspread/config/get", 1_000);
+            Matcher version = Pattern.compile("\"version\"\\s*:\\s*(\\d+)").matcher(body);
+            if (version.find()) {
+                record.write("operator", "reads configuration " + version.group(1) + " at " + control);
+                return Optional.of(Integer.parseInt(version.group(1)));
+            }
+        }
+        return Optional.empty();
+    }
+
     private static String backends() {
         List<String> entries = new ArrayList<>();
         for (String service : SERVICES) {
@@ -221,8 +283,15 @@
         return String.join(",", entries);
     }
 
+    /** Ends all processes at once. */
+    void kill() {
+        closing = true;
+        processes.values().forEach(Process::destroyForcibly);
+    }
+
     @Override
     public void close() throws IOException {
+        closing = true;
         platform.stop(0);
         for (Process process : processes.values()) {
             process.destroyForcibly();
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -28,7 +28,8 @@
             "mixed", new MixedCase(),
             "smuggle", new SmuggleCase(),
             "values", new ValuesCase(),
-            "shapes", new ShapesCase());
+            "shapes", new ShapesCase(),
+            "storm", new StormCase());
 
     private Main() {}
 
@@ -37,8 +38,7 @@
         Record record = new Record(Path.of(arguments[1]));
         int status;
         try (Deployment deployment = new Deployment(record)) {
-            Runtime.getRuntime().addShutdownHook(new Thread(
-                    () -> deployment.processes.values().forEach(Process::destroyForcibly)));
+            Runtime.getRuntime().addShutdownHook(new Thread(deployment::kill));
             status = CASES.get(arguments[0]).breaks(deployment, record, trouble) ? BROKEN : HELD;
         } catch (Exception | Error e) {
             record.write("case", "could not run: " + e);
