--- a/review/standin/SmuggleCase.java
+++ b/review/standin/SmuggleCase.java
@@ -1,6 +1,9 @@
 package review.standin;
 
-/** UNASKED. A client writes data that contains a line feed without a carriage return, which does not end a line. */
+/**
+ * UNASKED. A client writes data that holds a line feed without a carriage return, which does not end a line: a note of two lines,
+ * or text that looks like another request.
+ */
 final class SmuggleCase implements Main.Case {
     @Override
     public boolean breaks(Deployment deployment, Record record, boolean trouble) throws Exception {
@@ -10,7 +13,8 @@
             String inner = Client.id();
             String outer = Client.id();
             String separator = trouble ? "\n" : " ";
-            String text = "WRITE note" + i + " first" + separator + "QUERY " + inner + " WRITE other" + i + " second";
+            String rest = i % 2 == 0 ? "and one jacket" : "QUERY " + inner + " WRITE other" + i + " second";
+            String text = "WRITE note" + i + " two pairs of skis" + separator + rest;
             try (Client client = new Client("writer", deployment, "main")) {
                 client.ask(outer, text);
                 Record.sleep(100);
