--- a/review/standin/Databases.java
+++ b/review/standin/Databases.java
@@ -58,6 +58,9 @@
     private long newestTerm = 1;
     private long highestToken;
 
+    /** While true, the platform neither answers nor carries out orders to promote. */
+    volatile boolean platformDown;
+
     /** Number of promotions that took effect. */
     volatile int promotions;
 
@@ -76,8 +79,16 @@
         return all.stream().filter(one -> one.up && one.primary).findFirst().orElse(null);
     }
 
-    /** Handles POST /promote. Returns the HTTP status. */
-    synchronized int promote(String id, String holder, long token) {
+    /** Handles POST /promote. Returns the HTTP status, or 0 if there is no answer. */
+    int promote(String id, String holder, long token) {
+        if (platformDown) {
+            record.write("platform", "down: promote " + id + " token " + token + " gets no answer");
+            return 0;
+        }
+        return promoteNow(id, holder, token);
+    }
+
+    private synchronized int promoteNow(String id, String holder, long token) {
         record.write("platform", "promote " + id + " holder " + holder + " token " + token);
         if (token < highestToken) {
             return 409;
@@ -168,7 +179,10 @@
 
     /** One database. Its state is guarded by the lock of the service. */
     final class Database {
-        final String id;
+        /** Changes when the process starts again: only a database without its log would keep its id. */
+        volatile String id;
+
+        private int starts;
         final String host;
         final int port;
         long born = System.currentTimeMillis();
@@ -239,12 +253,11 @@
             }
         }
 
-        /** Starts again with its log, as a replica if another database leads. */
+        /** Starts again with its log; {@link #lead} has made it a replica if another database was promoted meanwhile. */
         void restart() throws IOException {
             synchronized (Databases.this) {
-                if (promotions > 0) {
-                    primary = false;
-                }
+                starts++;
+                id = id.split("r")[0] + "r" + starts;
                 born = System.currentTimeMillis();
                 seq = 0;
                 heldTerm = 0;
--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -29,6 +29,9 @@
 
     private static final long RESTART_DELAY_MS = 500;
 
+    /** Longer than the caller waits. */
+    private static final long NO_ANSWER_MS = 20_000;
+
     private static final String[] SERVICES = {"ledger-1", "ledger-2", "ledger-3"};
 
     final int frontPort = freePort();
@@ -82,7 +85,11 @@
                     }
                 }
             }
-            exchange.sendResponseHeaders(status, -1);
+            if (status == 0) {
+                // The caller closes the connection after its own time-out.
+                Record.sleep(NO_ANSWER_MS);
+            }
+            exchange.sendResponseHeaders(status == 0 ? 503 : status, -1);
             exchange.close();
         });
         platform.start();
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -29,7 +29,8 @@
             "smuggle", new SmuggleCase(),
             "values", new ValuesCase(),
             "shapes", new ShapesCase(),
-            "storm", new StormCase());
+            "storm", new StormCase(),
+            "stuck", new StuckCase());
 
     private Main() {}
 
