--- a/review/standin/Databases.java
+++ b/review/standin/Databases.java
@@ -183,6 +183,10 @@
         volatile String id;
 
         private int starts;
+        private long firstReportDelayMs;
+
+        /** How much of a missing log is received at each step of replication. */
+        private int catchUpEntriesPerStep = Integer.MAX_VALUE;
         final String host;
         final int port;
         long born = System.currentTimeMillis();
@@ -266,6 +270,21 @@
             record.write(id, "process started again with log to " + position());
         }
 
+        /** Starts again under its id and holds nothing of before. The first heartbeat comes after a delay. */
+        void restartEmpty(long firstReportMs, int entriesPerStep) throws IOException {
+            synchronized (Databases.this) {
+                log.clear();
+                primary = false;
+                born = System.currentTimeMillis();
+                seq = 0;
+                heldTerm = 0;
+                firstReportDelayMs = firstReportMs;
+                catchUpEntriesPerStep = entriesPerStep;
+            }
+            start();
+            record.write(id, "process started again without its log");
+        }
+
         private void follow(Database leader) {
             int common = 0;
             while (common < log.size() && common < leader.log.size() && log.get(common) == leader.log.get(common)) {
@@ -274,9 +293,12 @@
             while (log.size() > common) {
                 log.remove(log.size() - 1);
             }
-            while (log.size() < leader.log.size()) {
+            for (int i = 0; i < catchUpEntriesPerStep && log.size() < leader.log.size(); i++) {
                 log.add(leader.log.get(log.size()));
             }
+            if (log.size() == leader.log.size()) {
+                catchUpEntriesPerStep = Integer.MAX_VALUE;
+            }
             term = leader.term;
         }
 
@@ -303,7 +325,7 @@
         }
 
         private void reportAtIntervals() {
-            long nextMs = 0;
+            long nextMs = System.currentTimeMillis() + firstReportDelayMs;
             boolean alive = true;
             while (alive) {
                 if (System.currentTimeMillis() >= nextMs || reportNow) {
--- a/review/standin/Main.java
+++ b/review/standin/Main.java
@@ -30,7 +30,8 @@
             "values", new ValuesCase(),
             "shapes", new ShapesCase(),
             "storm", new StormCase(),
-            "stuck", new StuckCase());
+            "stuck", new StuckCase(),
+            "emptied", new EmptiedCase());
 
     private Main() {}
 
