--- a/review/standin/Databases.java
+++ b/review/standin/Databases.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URL;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -252,7 +253,11 @@
             record.write(id, "process ended with log to " + position());
             listener.close();
             for (Socket socket : sockets) {
-                socket.setSoLinger(true, 0);
+                try {
+                    socket.setSoLinger(true, 0);
+                } catch (SocketException e) {
+                    // Already closed by its own thread.
+                }
                 socket.close();
             }
         }
