Send no statement before its session's values are confirmed

Fix: values are set first, in one batch with BEGIN where there is one, so that only single writes and reads of replicas wait for a further round trip, and only when values differ. If a value cannot be set nothing has run, and the statement is routed again. A success behind a failed PREPARE is not delivered. The ROLLBACK of an abandoned transaction, whose lost answer kept the connection from use for ever, ends at the statement timeout.

Evidence, red before: SessionEngineTest.noStatementRunsWithoutItsSessionsValues (2 of 3 cases), .aWriteBehindAFailedPrepareIsInDoubt, .aConnectionWhoseRollbackHasNoResponseIsClosed.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -107,8 +107,7 @@
 
     private void beginReadWriteTransaction(ConnectionLease granted) {
         granted.connection()
-                .send(List.of(SqlRequest.internal(new SqlStatement.Begin(false))))
-                .get(0)
+                .begin(session.values(), SqlRequest.internal(new SqlStatement.Begin(false)))
                 .whenComplete((begun, error) -> {
                     if (error != null || !begun.isSuccess()) {
                         onResult(granted, begun, error);
@@ -125,15 +124,14 @@
     }
 
     private void send(ConnectionLease granted, SqlRequest request, List<SqlRequest> trailing) {
-        StatementSender.send(
-                granted,
-                session,
-                request,
-                statement.preparedDefinition().orElse(null),
-                trailing,
-                route.priority(),
-                () -> beforeSend(granted),
-                (result, error) -> onResult(granted, result, error));
+        new StatementSender(
+                        granted,
+                        request,
+                        statement.preparedDefinition(),
+                        trailing,
+                        () -> beforeSend(granted),
+                        (result, error) -> onResult(granted, result, error))
+                .send(session, route.priority());
     }
 
     private boolean beforeSend(ConnectionLease granted) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
@@ -5,9 +5,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.placement.Reachability;
 import org.hornbeamspread.core.sql.SqlConnection;
 import org.hornbeamspread.core.sql.SqlRequest;
@@ -63,12 +66,8 @@
         return (definition.write() ? "w_" : "r_") + definition.text().replace(' ', '_');
     }
 
-    /**
-     * The requests that must be sent first, so that the connection has a session's values and a prepared statement.
-     *
-     * @param definition of the prepared statement; null for none
-     */
-    List<SqlRequest> setUpRequests(Map<String, String> sessionValues, PreparedDefinition definition) {
+    /** The requests that set a session's values on the connection; empty if they are set. */
+    private List<SqlRequest> valueRequests(Map<String, String> sessionValues) {
         List<SqlRequest> requests = new ArrayList<>();
         boolean surplus = !sessionValues.keySet().containsAll(values.keySet());
         if (surplus || prepared.size() >= MAX_PREPARED_STATEMENTS) {
@@ -81,12 +80,51 @@
                 requests.add(SqlRequest.internal(new SqlStatement.SetValue(name, value)));
             }
         });
-        if (definition != null && prepared.add(definition)) {
-            requests.add(SqlRequest.internal(new SqlStatement.Prepare(preparedName(definition), definition)));
-        }
         return requests;
     }
 
+    /**
+     * The request that prepares a statement; empty if it is prepared. An execution may be sent directly behind the request: if the
+     * request fails, the database refuses the execution, because no other definition has the name.
+     */
+    Optional<SqlRequest> prepareRequest(PreparedDefinition definition) {
+        return prepared.add(definition)
+                ? Optional.of(SqlRequest.internal(new SqlStatement.Prepare(preparedName(definition), definition)))
+                : Optional.empty();
+    }
+
+    /**
+     * Sets a session's values if necessary. Fails with CONNECTION_LOST, and closes the connection, if that does not succeed. No
+     * statement of the session may be sent before, as it would run with other values.
+     *
+     * @param trailing requests that may run with other values, sent in the same batch
+     */
+    CompletableFuture<List<SqlResult>> setValues(Map<String, String> sessionValues, List<SqlRequest> trailing) {
+        List<SqlRequest> requests = new ArrayList<>(valueRequests(sessionValues));
+        int valueCount = requests.size();
+        requests.addAll(trailing);
+        if (requests.isEmpty()) {
+            return CompletableFuture.completedFuture(List.of());
+        }
+        List<CompletableFuture<SqlResult>> results = send(requests);
+        return CompletableFuture.allOf(results.toArray(CompletableFuture[]::new))
+                .thenApply(ignored -> {
+                    List<SqlResult> complete =
+                            results.stream().map(CompletableFuture::join).toList();
+                    if (!complete.subList(0, valueCount).stream().allMatch(SqlResult::isSuccess)) {
+                        close();
+                        throw new FailureException(
+                                FailureType.CONNECTION_LOST, "the session's values could not be set");
+                    }
+                    return complete.subList(valueCount, complete.size());
+                });
+    }
+
+    /** Sets a session's values if necessary and begins a transaction, whose first result it returns. */
+    CompletableFuture<SqlResult> begin(Map<String, String> sessionValues, SqlRequest begin) {
+        return setValues(sessionValues, List.of(begin)).thenApply(results -> results.get(0));
+    }
+
     List<CompletableFuture<SqlResult>> send(List<SqlRequest> requests) {
         List<CompletableFuture<SqlResult>> results = connection.send(requests);
         for (CompletableFuture<SqlResult> result : results) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ScheduledFuture;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -45,7 +46,10 @@
         return new TransactionStatement(statement);
     }
 
-    /** Rolls back the transaction. Call only while no statement runs, or after the client has disconnected. */
+    /**
+     * Rolls back the transaction. Call only while no statement runs, or after the client has disconnected. The connection is closed
+     * if the response does not arrive within the statement timeout.
+     */
     void rollBack() {
         ended = true;
         if (lease.isEmpty()) {
@@ -57,11 +61,13 @@
             heldLease.discard();
             return;
         }
+        ScheduledFuture<?> timeout = context.schedule(heldLease::discard, route.statementTimeoutMs());
         heldLease
                 .connection()
                 .send(List.of(SqlRequest.internal(new SqlStatement.Rollback())))
                 .get(0)
                 .whenComplete((result, error) -> {
+                    timeout.cancel(false);
                     if (error == null && result.isSuccess() && result.state() == TransactionState.IDLE) {
                         heldLease.release();
                     } else {
@@ -157,9 +163,9 @@
             boolean readWrite = connectionRequest.requiredPosition.isEmpty();
             SqlRequest begin = SqlRequest.internal(new SqlStatement.Begin(!readWrite));
             granted.connection()
-                    .send(List.of(
-                            readWrite ? begin : begin.requiringPosition(connectionRequest.requiredPosition.get())))
-                    .get(0)
+                    .begin(
+                            session.values(),
+                            readWrite ? begin : begin.requiringPosition(connectionRequest.requiredPosition.get()))
                     .whenComplete((result, error) -> onBeginResult(granted, readWrite, result, error));
         }
 
@@ -202,15 +208,14 @@
         }
 
         private void send(ConnectionLease heldLease) {
-            StatementSender.send(
-                    heldLease,
-                    session,
-                    statement.request(),
-                    statement.preparedDefinition().orElse(null),
-                    List.of(),
-                    route.priority(),
-                    () -> beforeSend(heldLease),
-                    (result, error) -> onResult(heldLease, result, error));
+            new StatementSender(
+                            heldLease,
+                            statement.request(),
+                            statement.preparedDefinition(),
+                            List.of(),
+                            () -> beforeSend(heldLease),
+                            (result, error) -> onResult(heldLease, result, error))
+                    .send(session, route.priority());
         }
 
         private boolean beforeSend(ConnectionLease heldLease) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
@@ -50,6 +50,9 @@
     /** The error that a statement gets; none by default. */
     Function<SqlRequest, Optional<SqlError>> injectedError = request -> Optional.empty();
 
+    /** Whether a name that is not prepared on the connection is executed, as one whose PREPARE ran and reported a failure. */
+    boolean acceptsUnprepared;
+
     /** Every executed statement, with the client's request id and the session values of the connection. */
     final List<ExecutedStatement> executedStatements = new ArrayList<>();
 
@@ -225,7 +228,9 @@
             if (!primary && (write || (state == TransactionState.OPEN && readWrite))) {
                 return failure(SqlError.READ_ONLY);
             }
-            if (statement instanceof SqlStatement.Execute execute && !prepared.containsKey(execute.name())) {
+            if (statement instanceof SqlStatement.Execute execute
+                    && !acceptsUnprepared
+                    && !prepared.containsKey(execute.name())) {
                 return failure(SqlError.UNKNOWN_PREPARED);
             }
             boolean inTransaction = state == TransactionState.OPEN;
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -157,6 +157,59 @@
                 .contains("q2");
     }
 
+    /** A write ran with the values of the client before, because it had been sent behind a SET that failed (review, ValuesCase). */
+    @ParameterizedTest
+    @CsvSource({"primary, false", "primary, true", "bounded_staleness, false"})
+    void noStatementRunsWithoutItsSessionsValues(String route, boolean transaction) {
+        harness.databases.forEach(database -> database.injectedError =
+                request -> request.statement() instanceof SetValue ? Optional.of(SqlError.FAILED) : Optional.empty());
+        Client client = harness.open(
+                        route.equals("primary") ? EngineHarness.PRIMARY_ROUTE : EngineHarness.BOUNDED_STALENESS_ROUTE)
+                .send("1", new SetValue("zone", "addis"));
+        if (transaction) {
+            client.send("b", new Begin(false));
+        }
+        SqlStatement statement = route.equals("primary") ? new Write("item", "5") : new Read("item");
+        client.send("s1", statement);
+        harness.run(3_000);
+
+        harness.databases.forEach(
+                database -> assertThat(database.executedStatements).isEmpty());
+        assertThat(client.lastReply().error().orElseThrow().isNotRun()
+                        || client.lastReply().hasError(SqlError.TIMEOUT))
+                .isTrue();
+    }
+
+    /** A statement whose PREPARE failed may have run another definition; its success is not delivered. */
+    @Test
+    void aWriteBehindAFailedPrepareIsInDoubt() {
+        harness.primary.injectedError =
+                request -> request.statement() instanceof Prepare ? Optional.of(SqlError.FAILED) : Optional.empty();
+        harness.primary.acceptsUnprepared = true;
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE)
+                .send("1", new Prepare("s", new PreparedDefinition(true, "q1")));
+        client.send("w1", new Execute("s", "item", Optional.of("5")));
+        harness.run(2_000);
+
+        assertThat(client.lastReply().error()).hasValue(SqlError.IN_DOUBT);
+    }
+
+    /** The response to the ROLLBACK of an abandoned transaction was lost, and its connection was never used again. */
+    @Test
+    void aConnectionWhoseRollbackHasNoResponseIsClosed() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("b", new Begin(false));
+        client.send("s1", new Write("item", "5"));
+        harness.run(100);
+        FakeDatabase.Connection connection = harness.primary.openConnections.get(0);
+        harness.primary.statementsHang = true;
+        client.session.orElseThrow().onClosed();
+        harness.run(10);
+        harness.primary.statementsHang = false;
+        harness.run(900);
+
+        assertThat(connection.isOpen()).isFalse();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"s", "other"})
     void executingAnUnknownPreparedStatementIsRefused(String name) {
