Bound the control log by bytes as well as by records

The file was read into one array, and what was read was kept for the life of the process.

The log's share of the heap no longer depends on the number or size of the changes, only on the largest single record.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -67,6 +67,10 @@
     private Optional<FailureException> haltCause = Optional.empty();
 
     private long lastSnapshotIndex;
+
+    /** The bytes of the payloads applied since the last snapshot. */
+    private long bytesSinceSnapshot;
+
     private volatile long appliedIndex;
     private volatile Leadership leadership;
     private volatile List<ControlMember> members = List.of();
@@ -95,7 +99,8 @@
                 stored,
                 ConsensusParameters.of(
                         settings.electionTimeout().toMillis(),
-                        settings.heartbeatInterval().toMillis()),
+                        settings.heartbeatInterval().toMillis(),
+                        settings.budgetBytes()),
                 clock,
                 new SplittableRandom());
         this.leadership = new Leadership(stored.term(), Optional.empty(), false);
@@ -259,8 +264,13 @@
         for (int i = 0; i < records.size(); i++) {
             pendingProposals.onApplied(records.get(i).index(), records.get(i).term(), results.get(i));
         }
-        if (appliedIndex - lastSnapshotIndex >= settings.snapshotIntervalRecords()) {
+        for (LogRecord record : records) {
+            bytesSinceSnapshot += record.payload().sizeBytes();
+        }
+        if (appliedIndex - lastSnapshotIndex >= settings.snapshotIntervalRecords()
+                || bytesSinceSnapshot >= settings.budgetBytes()) {
             lastSnapshotIndex = appliedIndex;
+            bytesSinceSnapshot = 0;
             metrics.onSnapshot();
             node.step(new ConsensusEvent.SnapshotTaken(
                     appliedIndex, Payload.copyOf(stateMachine.snapshot().toByteArray())));
@@ -277,6 +287,7 @@
         if (snapshot.lastIndex() > 0) {
             stateMachine.restore(RecordCodec.bytes(snapshot.state()));
             lastSnapshotIndex = snapshot.lastIndex();
+            bytesSinceSnapshot = 0;
             appliedIndex = snapshot.lastIndex();
             publishApplied();
         }
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -21,6 +21,7 @@
 import org.hornbeamspread.control.storage.WriteInterceptor;
 import org.hornbeamspread.core.consensus.ConsensusEvent;
 import org.hornbeamspread.core.consensus.Message;
+import org.hornbeamspread.core.consensus.StoredState;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlCommand;
@@ -77,11 +78,12 @@
                 settings.dataDirectory(), settings.memberId(), settings.clusterId(), incarnation, interceptor);
         try {
             directory.update(diskLog.snapshotMembers());
-            diskLog.storedState().records().forEach(record -> updateDirectory(RecordCodec.wire(record)));
+            StoredState stored = diskLog.takeStoredState();
+            stored.records().forEach(record -> updateDirectory(RecordCodec.wire(record)));
             this.diskWriter = new DiskWriter("disk-" + settings.memberId(), diskLog, directory, this::enqueueDiskEvent);
             PeerConnections connections = new PeerConnections(transport, settings.electionTimeout(), this::onResponse);
             this.loop = new ConsensusLoop(
-                    settings, stateMachine, clock, diskLog.storedState(), diskWriter, directory, connections, metrics);
+                    settings, stateMachine, clock, stored, diskWriter, directory, connections, metrics);
         } catch (RuntimeException e) {
             diskLog.close();
             throw e;
@@ -188,8 +190,9 @@
     }
 
     /**
-     * Runs a step and halts this member on an error. An error in the consensus node or in the state machine leaves the
-     * state undefined, so the member takes no further part in the log.
+     * Runs a step and halts this member on an exception, which leaves the state of the consensus node or of the state machine
+     * undefined, so that the member takes no further part in the log. An Error ends the process, since the event loop would
+     * continue after some of them.
      */
     private void runOrHalt(Runnable work) {
         try {
@@ -197,6 +200,10 @@
         } catch (RuntimeException e) {
             LOG.log(Level.ERROR, "an error halts the control log on this member", e);
             loop.halt(FailureException.of(e));
+        } catch (Error e) {
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
+            throw e;
         }
     }
 
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
@@ -19,6 +19,8 @@
  *     to twice this value
  * @param heartbeatInterval the interval of heartbeats from the leader
  * @param snapshotIntervalRecords the number of applied records between two snapshots
+ * @param budgetBytes the number of bytes of applied records between two snapshots, and the limit on the bytes of uncommitted
+ *     records; keeps the log in memory and on disk small when records are large
  * @param mayBootstrap false for a member that joins a cluster which other members bootstrap or have bootstrapped
  */
 public record ConsensusSettings(
@@ -29,10 +31,18 @@
         Duration electionTimeout,
         Duration heartbeatInterval,
         int snapshotIntervalRecords,
+        long budgetBytes,
         boolean mayBootstrap) {
     private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(500);
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
     private static final int SNAPSHOT_INTERVAL_RECORDS = 1_000;
+    private static final long MAX_BUDGET_BYTES = 4 << 20;
+
+    /**
+     * Share of the heap. The log holds up to two and a quarter budgets: records since the snapshot, uncommitted and retained ones.
+     * Encoding them for the disk and for followers takes about as much again.
+     */
+    private static final int HEAP_BYTES_PER_BUDGET_BYTE = 32;
 
     /** Checks that the members include this member. */
     public ConsensusSettings {
@@ -43,6 +53,11 @@
         }
     }
 
+    /** The budget for the records of a log in a heap of the given size. */
+    static long budgetBytes(long maxHeapBytes) {
+        return Math.min(MAX_BUDGET_BYTES, maxHeapBytes / HEAP_BYTES_PER_BUDGET_BYTE);
+    }
+
     /** Uses the default timings: an election after 500 to 1000 ms without a leader, a heartbeat every 100 ms. */
     public static ConsensusSettings of(
             String memberId, String clusterId, List<ControlMember> members, Path dataDirectory) {
@@ -54,6 +69,7 @@
                 ELECTION_TIMEOUT,
                 HEARTBEAT_INTERVAL,
                 SNAPSHOT_INTERVAL_RECORDS,
+                budgetBytes(Runtime.getRuntime().maxMemory()),
                 true);
     }
 
@@ -67,6 +83,7 @@
                 electionTimeout,
                 heartbeatInterval,
                 snapshotIntervalRecords,
+                budgetBytes,
                 false);
     }
 }
--- a/control/src/main/java/org/hornbeamspread/control/storage/ChecksummedFiles.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/ChecksummedFiles.java
@@ -38,12 +38,13 @@
         if (!Files.exists(path)) {
             return Optional.empty();
         }
-        byte[] file = Files.readAllBytes(path);
-        Optional<byte[]> body = Frame.decode(file, 0);
-        if (body.isEmpty() || body.get().length + Frame.HEADER_BYTES != file.length) {
-            throw corrupted(path, 0);
+        try (FileChannel file = FileChannel.open(path, StandardOpenOption.READ)) {
+            Optional<byte[]> body = Frame.read(file, 0);
+            if (body.isEmpty() || body.get().length + Frame.HEADER_BYTES != file.size()) {
+                throw corrupted(path, 0);
+            }
+            return body;
         }
-        return body;
     }
 
     /** Replaces a file atomically by one frame for each body. */
--- a/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
@@ -38,17 +38,23 @@
     private static final String LOG = "log";
     private static final String LOCK = "lock";
 
+    /** A frame of several records ends with the record that reaches this size. */
+    private static final long MAX_FRAME_BYTES = 1 << 20;
+
     private final ChecksummedFiles files;
     private final FileChannel lock;
-    private final StoredState storedState;
     private final List<ControlMember> snapshotMembers;
+
+    /** The content when the directory was opened; empty once it was taken, so that its records can be discarded. */
+    private Optional<StoredState> storedState;
+
     private FileChannel log;
 
     private DiskLog(ChecksummedFiles files, FileChannel lock, StoredState stored, List<ControlMember> snapshotMembers)
             throws IOException {
         this.files = files;
         this.lock = lock;
-        this.storedState = stored;
+        this.storedState = Optional.of(stored);
         this.snapshotMembers = snapshotMembers;
         this.log = openLog();
     }
@@ -75,9 +81,11 @@
         }
     }
 
-    /** The content of the directory when it was opened. */
-    public StoredState storedState() {
-        return storedState;
+    /** Returns the content of the directory when it was opened. May be called once. */
+    public StoredState takeStoredState() {
+        StoredState taken = storedState.orElseThrow();
+        storedState = Optional.empty();
+        return taken;
     }
 
     /** The members of the stored snapshot, with their endpoints. */
@@ -288,9 +296,7 @@
         files.replace(SNAPSHOT, List.of(wire.toByteArray()));
         List<byte[]> bodies = new ArrayList<>();
         bodies.add(LogReader.encodeBase(rewrite.baseIndex(), rewrite.baseTerm()));
-        if (!rewrite.records().isEmpty()) {
-            bodies.add(LogReader.encodeRecords(rewrite.records()));
-        }
+        chunks(rewrite.records()).forEach(chunk -> bodies.add(LogReader.encodeRecords(chunk)));
         files.replace(LOG, bodies);
         log.close();
         log = openLog();
@@ -301,17 +307,35 @@
             return;
         }
         long previousEnd = log.position();
-        try {
-            files.write(log, Frame.encode(LogReader.encodeRecords(records)));
-        } catch (IOException e) {
-            log.truncate(previousEnd);
-            throw e;
+        for (List<LogRecord> chunk : chunks(records)) {
+            try {
+                files.write(log, Frame.encode(LogReader.encodeRecords(chunk)));
+            } catch (IOException e) {
+                log.truncate(previousEnd);
+                throw e;
+            }
+            try {
+                log.force(false);
+            } catch (IOException e) {
+                throw new FailureException(FailureType.DISK_FAILED, String.valueOf(e.getMessage()), e);
+            }
         }
-        try {
-            log.force(false);
-        } catch (IOException e) {
-            throw new FailureException(FailureType.DISK_FAILED, String.valueOf(e.getMessage()), e);
+    }
+
+    /** Splits records so that the frame of each part, of which some copies are made, is small or has a single record. */
+    private static List<List<LogRecord>> chunks(List<LogRecord> records) {
+        List<List<LogRecord>> chunks = new ArrayList<>();
+        int start = 0;
+        long bytes = 0;
+        for (int i = 0; i < records.size(); i++) {
+            bytes += records.get(i).payload().sizeBytes();
+            if (bytes >= MAX_FRAME_BYTES || i == records.size() - 1) {
+                chunks.add(records.subList(start, i + 1));
+                start = i + 1;
+                bytes = 0;
+            }
         }
+        return chunks;
     }
 
     /** The wire form of a membership, with the endpoints of the members that have one in the list. */
--- a/control/src/main/java/org/hornbeamspread/control/storage/LogReader.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/LogReader.java
@@ -3,8 +3,9 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.file.Files;
+import java.nio.channels.FileChannel;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -25,16 +26,22 @@
     private long baseTerm;
 
     /** The length of the valid part of the file. */
-    private int validBytes;
+    private long validBytes;
 
     LogReader(Path path) {
         this.path = path;
     }
 
-    /** Reads the whole file. Fails with LOG_CORRUPTED. */
+    /** Reads the file frame by frame, so that only the records are held in memory. Fails with LOG_CORRUPTED. */
     LogReader read() throws IOException {
-        byte[] file = Files.readAllBytes(path);
-        Optional<byte[]> base = Frame.decode(file, 0);
+        try (FileChannel file = FileChannel.open(path, StandardOpenOption.READ)) {
+            read(file);
+        }
+        return this;
+    }
+
+    private void read(FileChannel file) throws IOException {
+        Optional<byte[]> base = Frame.read(file, 0);
         if (base.isEmpty() || base.get().length != 2 * Long.BYTES) {
             throw ChecksummedFiles.corrupted(path, 0);
         }
@@ -42,8 +49,8 @@
         baseIndex = header.getLong();
         baseTerm = header.getLong();
         validBytes = Frame.HEADER_BYTES + base.get().length;
-        while (validBytes < file.length) {
-            Optional<byte[]> body = Frame.decode(file, validBytes);
+        while (validBytes < file.size()) {
+            Optional<byte[]> body = Frame.read(file, validBytes);
             if (body.isEmpty()) {
                 if (Frame.validFrameExistsAfter(file, validBytes)) {
                     throw ChecksummedFiles.corrupted(path, validBytes);
@@ -53,7 +60,6 @@
             addRecords(body.get());
             validBytes += Frame.HEADER_BYTES + body.get().length;
         }
-        return this;
     }
 
     long baseIndex() {
@@ -64,7 +70,7 @@
         return baseTerm;
     }
 
-    int validBytes() {
+    long validBytes() {
         return validBytes;
     }
 
--- a/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,6 +20,7 @@
 import org.hornbeamspread.protocol.schema.ChangeMembers;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.ControlMember;
+import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.SetDepartures;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -50,6 +52,49 @@
         }
     }
 
+    /**
+     * The log was bounded by 1,000 records. After hundreds of changes of a grown configuration no member had the heap to read its log
+     * at a restart, and later not to hold it (review case 3). A member that was down meanwhile must catch up as well.
+     */
+    @Test
+    void aLogOfLargeRecordsStaysWithinItsBudget() throws IOException {
+        long budgetBytes = 256 << 10;
+        int recordBytes = 40_000;
+        int changes = 300;
+        try (LogCluster cluster = new LogCluster(directory, 3, 1_000, budgetBytes)) {
+            cluster.startAll();
+            String leader = cluster.awaitLeader();
+            String absent = leader.equals("c1") ? "c2" : "c1";
+            cluster.stop(absent);
+            for (int version = 1; version <= changes; version++) {
+                proposeRoutes(cluster, leader, version, recordBytes);
+            }
+            long committed = cluster.log(leader).appliedIndex();
+            cluster.start(absent);
+            cluster.awaitApplied(absent, committed);
+            assertThat(cluster.state(absent).state().getRoutes().getVersion()).isEqualTo(changes);
+            for (int i = 1; i <= 3; i++) {
+                cluster.stop("c" + i);
+                // Applied and uncommitted records, retained ones, and one record beyond each limit.
+                assertThat(Files.size(cluster.directory("c" + i).resolve("log")))
+                        .isAtMost(budgetBytes * 9 / 4 + 3 * (recordBytes + 1_000));
+            }
+            cluster.startAll();
+            String next = cluster.awaitLeader();
+            LogCluster.await(cluster.log(next).confirmLeadership());
+            assertThat(cluster.state(next).state().getRoutes().getVersion()).isEqualTo(changes);
+        }
+    }
+
+    private static void proposeRoutes(LogCluster cluster, String leader, int version, int sourceBytes) {
+        LogCluster.await(cluster.log(leader)
+                .propose(ControlCommand.newBuilder()
+                        .setReplaceRoutes(RouteConfigurationDocument.newBuilder()
+                                .setVersion(version)
+                                .setSource(ByteString.copyFrom(new byte[sourceBytes])))
+                        .build()));
+    }
+
     @Test
     void aMemberWithALostDiskIsReadmittedAndCountsTowardTheQuorum() throws IOException {
         try (LogCluster cluster = new LogCluster(directory, 3, 50)) {
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -27,6 +27,7 @@
     private final PeerTransport transport = new PeerTransport(2);
     private final Path directory;
     private final int snapshotIntervalRecords;
+    private final long budgetBytes;
     /** The members that the log is bootstrapped with. */
     private final List<ControlMember> initialMembers = new ArrayList<>();
 
@@ -35,7 +36,12 @@
     private final Map<String, RunningMember> running = new TreeMap<>();
 
     LogCluster(Path directory, int size, int snapshotIntervalRecords) {
+        this(directory, size, snapshotIntervalRecords, 1 << 20);
+    }
+
+    LogCluster(Path directory, int size, int snapshotIntervalRecords, long budgetBytes) {
         this.directory = directory;
+        this.budgetBytes = budgetBytes;
         this.snapshotIntervalRecords = snapshotIntervalRecords;
         for (int i = 1; i <= size; i++) {
             initialMembers.add(listen("c" + i));
@@ -60,6 +66,7 @@
                 defaults.electionTimeout(),
                 defaults.heartbeatInterval(),
                 snapshotIntervalRecords,
+                budgetBytes,
                 true);
         ControlStateMachine state = new ControlStateMachine();
         ConsensusService log = new ConsensusService(
--- a/control/src/test/java/org/hornbeamspread/control/storage/DiskLogTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/storage/DiskLogTest.java
@@ -3,13 +3,16 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.google.protobuf.ByteString;
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hornbeamspread.core.consensus.ConsensusEffect;
 import org.hornbeamspread.core.consensus.LogRecord;
 import org.hornbeamspread.core.consensus.Member;
@@ -20,6 +23,7 @@
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -27,6 +31,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 final class DiskLogTest {
+    /** One MiB, and the record that exceeds it. */
+    private static final int MAX_FRAME_BYTES = (1 << 20) + 400_100;
+
     private static final Membership MEMBERS = new Membership(List.of(new Member("c1", 5, true)));
 
     @TempDir
@@ -78,13 +85,73 @@
         }
         Files.write(file("log"), oldLog);
         try (DiskLog log = open()) {
-            assertThat(log.storedState().records()).isEmpty();
-            assertThat(log.storedState().baseIndex()).isEqualTo(4);
+            StoredState stored = log.takeStoredState();
+            assertThat(stored.records()).isEmpty();
+            assertThat(stored.baseIndex()).isEqualTo(4);
             persist(log, Optional.empty(), records(5, 5, 3));
         }
         assertThat(reopenedState().records()).hasSize(1);
     }
 
+    /** Records of a grown configuration were encoded in one frame, which took several times their size of the heap. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void largeRecordsAreReadBackFromFramesOfLimitedSize(boolean rewritten) throws IOException {
+        List<LogRecord> records = new ArrayList<>();
+        for (long index = 1; index <= 20; index++) {
+            records.add(new LogRecord(index, 1, largePayload(index), Optional.empty()));
+        }
+        try (DiskLog log = open()) {
+            if (rewritten) {
+                rewrite(log, new ConsensusEffect.Rewrite(Snapshot.NONE, 0, 0, records));
+            } else {
+                persist(log, Optional.empty(), records);
+            }
+        }
+
+        assertThat(reopenedState().records()).isEqualTo(records);
+        try (FileChannel log = FileChannel.open(file("log"))) {
+            long offset = 0;
+            while (offset < log.size()) {
+                int length = Frame.read(log, offset).orElseThrow().length;
+                assertThat(length).isAtMost(MAX_FRAME_BYTES);
+                offset += Frame.HEADER_BYTES + length;
+            }
+        }
+    }
+
+    /** The disk fills up after some frames of a batch. The retry must not append the batch behind the frames of the first try. */
+    @Test
+    void aBatchOfSeveralFramesRefusedByAFullDiskLeavesNoFrames() throws IOException {
+        AtomicInteger writes = new AtomicInteger();
+        List<LogRecord> records = new ArrayList<>();
+        for (long index = 1; index <= 8; index++) {
+            records.add(new LogRecord(index, 1, largePayload(index), Optional.empty()));
+        }
+        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, bytes -> {
+            if (bytes > 100_000 && writes.incrementAndGet() == 3) {
+                throw new IOException("No space left on device");
+            }
+        })) {
+            long emptyBytes = Files.size(file("log"));
+            FailureException failure =
+                    assertThrows(FailureException.class, () -> persist(log, Optional.empty(), records));
+            assertThat(failure.type()).isEqualTo(FailureType.DISK_FULL);
+            assertThat(Files.size(file("log"))).isEqualTo(emptyBytes);
+            persist(log, Optional.empty(), records);
+        }
+
+        assertThat(reopenedState().records()).isEqualTo(records);
+    }
+
+    private static Payload largePayload(long index) {
+        return RecordCodec.payload(ControlCommand.newBuilder()
+                .setProposedAtMs(index)
+                .setReplaceRoutes(
+                        RouteConfigurationDocument.newBuilder().setSource(ByteString.copyFrom(new byte[400_000])))
+                .build());
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 5, 12, 20})
     void aTornLastWriteIsTruncated(int missingBytes) throws IOException {
@@ -95,7 +162,7 @@
         byte[] original = Files.readAllBytes(file("log"));
         Files.write(file("log"), Arrays.copyOf(original, original.length - missingBytes));
         try (DiskLog log = open()) {
-            assertThat(log.storedState().records()).hasSize(2);
+            assertThat(log.takeStoredState().records()).hasSize(2);
             persist(log, Optional.empty(), records(3, 4, 2));
         }
         assertThat(reopenedState().records()).hasSize(4);
@@ -135,7 +202,7 @@
             flipped[bit / Byte.SIZE] ^= (byte) (1 << bit % Byte.SIZE);
             Files.write(file("log"), flipped);
             try (DiskLog log = open()) {
-                assertThat(log.storedState().records()).isEqualTo(records(1, 2, 1));
+                assertThat(log.takeStoredState().records()).isEqualTo(records(1, 2, 1));
             } catch (FailureException e) {
                 assertThat(e.type()).isEqualTo(FailureType.LOG_CORRUPTED);
             }
@@ -203,7 +270,7 @@
 
     private StoredState reopenedState() {
         try (DiskLog log = open()) {
-            return log.storedState();
+            return log.takeStoredState();
         }
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -383,7 +383,7 @@
         if (index > state.log.snapshot().lastIndex() && index <= state.commitIndex()) {
             Snapshot snapshot =
                     new Snapshot(index, state.log.termAt(index), state.log.membershipAt(index), taken.state());
-            state.log.compact(snapshot, state.parameters.retainedRecords());
+            state.log.compact(snapshot, state.parameters.retainedRecords(), state.parameters.retainedBytes());
             state.outbox.stageRewrite(state.log);
         }
     }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusParameters.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusParameters.java
@@ -8,10 +8,26 @@
  * @param heartbeatMs the interval between the heartbeats of a leader
  * @param batchBytes the approximate limit on the bytes of records in one message
  * @param maxUncommittedRecords the number of uncommitted records at which a leader rejects further proposals
- * @param retainedRecords how many records before a snapshot are retained for followers that lag slightly
+ * @param maxUncommittedBytes the bytes of uncommitted records at which a leader rejects further proposals; a single record may
+ *     be larger
+ * @param retainedRecords how many records before a snapshot are retained at most, for followers that lag slightly
+ * @param retainedBytes the limit on the bytes of these records
  */
 public record ConsensusParameters(
-        long electionTimeoutMs, long heartbeatMs, int batchBytes, int maxUncommittedRecords, int retainedRecords) {
+        long electionTimeoutMs,
+        long heartbeatMs,
+        int batchBytes,
+        int maxUncommittedRecords,
+        long maxUncommittedBytes,
+        int retainedRecords,
+        long retainedBytes) {
+    private static final int BATCH_BYTES = 256 << 10;
+    private static final int MAX_UNCOMMITTED_RECORDS = 8_192;
+    private static final int RETAINED_RECORDS = 256;
+
+    /** A follower that lags further receives the snapshot, which is smaller than the records once records are large. */
+    private static final int RETAINED_BUDGET_DIVISOR = 4;
+
     /**
      * How long a member that has just started assumes that a leader exists: an active leader sends a heartbeat to it
      * within this time. After this time and a jitter the member becomes a candidate.
@@ -27,8 +43,19 @@
         return Math.min(electionTimeoutMs, 2 * heartbeatMs);
     }
 
-    /** Parameters with the default limits. */
-    public static ConsensusParameters of(long electionTimeoutMs, long heartbeatMs) {
-        return new ConsensusParameters(electionTimeoutMs, heartbeatMs, 256 << 10, 8_192, 256);
+    /**
+     * Parameters with the default limits.
+     *
+     * @param budgetBytes the limit on the bytes of uncommitted records, and of four times the records before a snapshot
+     */
+    public static ConsensusParameters of(long electionTimeoutMs, long heartbeatMs, long budgetBytes) {
+        return new ConsensusParameters(
+                electionTimeoutMs,
+                heartbeatMs,
+                BATCH_BYTES,
+                MAX_UNCOMMITTED_RECORDS,
+                budgetBytes,
+                RETAINED_RECORDS,
+                budgetBytes / RETAINED_BUDGET_DIVISOR);
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/LeaderRole.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/LeaderRole.java
@@ -31,6 +31,9 @@
     /** The index of the first record of the leader's term. */
     private final long termStartIndex;
 
+    /** The bytes of the payloads after the commit index. */
+    private long uncommittedBytes;
+
     private long round;
     private long nextHeartbeatMs;
     private long nextMembershipChangeMs;
@@ -39,6 +42,7 @@
         this.state = state;
         updatePeers();
         this.termStartIndex = append(Payload.EMPTY, Optional.empty());
+        this.uncommittedBytes = state.log.payloadBytes(state.commitIndex() + 1, state.log.lastIndex());
     }
 
     /** Whether a record of this term is committed. */
@@ -155,6 +159,7 @@
         LogRecord record = new LogRecord(state.log.lastIndex() + 1, state.term(), payload, membership);
         state.log.append(record);
         state.outbox.stageRecord(record);
+        uncommittedBytes += payload.sizeBytes();
         return record.index();
     }
 
@@ -172,6 +177,11 @@
         if (state.log.lastIndex() - state.commitIndex() >= state.parameters.maxUncommittedRecords()) {
             return Optional.of(FailureType.QUEUE_FULL);
         }
+        boolean exceedsBytes =
+                uncommittedBytes + proposal.payload().sizeBytes() > state.parameters.maxUncommittedBytes();
+        if (uncommittedBytes > 0 && exceedsBytes) {
+            return Optional.of(FailureType.QUEUE_FULL);
+        }
         if (proposal.membership().isEmpty() || !state.isEnabled(ConsensusRule.ONE_CHANGE_AT_A_TIME)) {
             return Optional.empty();
         }
@@ -210,6 +220,7 @@
         long index = matches.get(matches.size() / 2);
         boolean isOwnTerm = index > state.commitIndex() && state.log.termAt(index) == state.term();
         if (isOwnTerm || !state.isEnabled(ConsensusRule.COMMIT_OWN_TERM_ONLY)) {
+            uncommittedBytes -= state.log.payloadBytes(state.commitIndex() + 1, index);
             state.commitTo(index);
         }
     }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/MemoryLog.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/MemoryLog.java
@@ -133,10 +133,27 @@
         recomputeMembership();
     }
 
-    /** Replaces the snapshot by a newer one of applied records, and retains some records before it. */
-    void compact(Snapshot taken, int retainedRecords) {
+    /** The bytes of the payloads of the records from {@code first} to {@code last}, both included. */
+    long payloadBytes(long first, long last) {
+        long bytes = 0;
+        for (long index = first; index <= last; index++) {
+            bytes += get(index).payload().sizeBytes();
+        }
+        return bytes;
+    }
+
+    /** Replaces the snapshot by a newer one of applied records, and retains some records before it, within both limits. */
+    void compact(Snapshot taken, int retainedRecords, long retainedBytes) {
         snapshot = taken;
-        long newBase = Math.max(baseIndex, taken.lastIndex() - retainedRecords);
+        long newBase = taken.lastIndex();
+        long bytes = 0;
+        while (newBase > baseIndex && taken.lastIndex() - newBase < retainedRecords) {
+            bytes += get(newBase).payload().sizeBytes();
+            if (bytes > retainedBytes) {
+                break;
+            }
+            newBase--;
+        }
         long newBaseTerm = termAt(newBase);
         records.subList(0, (int) (newBase - baseIndex)).clear();
         baseIndex = newBase;
@@ -148,7 +165,7 @@
      */
     void install(Snapshot received) {
         if (matches(received.lastIndex(), received.lastTerm())) {
-            compact(received, 0);
+            compact(received, 0, 0);
         } else {
             records.clear();
             baseIndex = received.lastIndex();
--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusNodeTest.java
@@ -11,6 +11,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -154,6 +155,29 @@
                 () -> leaderAmong(harness, otherIds(harness, leader.id)).isPresent());
     }
 
+    /**
+     * Large records that cannot be committed, because the disk or the followers stall, must not use up the heap (review case 3). A
+     * single record is admitted whatever its size.
+     */
+    @ParameterizedTest
+    @CsvSource({"524288, 2", "700000, 1", "3000000, 1", "8, 40"})
+    void aLeaderRefusesProposalsBeyondTheLimitOfUncommittedBytes(int payloadBytes, int expectedAdmitted) {
+        LogHarness harness = harness(3, ConsensusRule.PRE_VOTE, true);
+        LogHarness.Host leader = harness.leader().orElseThrow();
+        harness.runUntil(() -> leader.applied == leader.node.lastIndex());
+        long lastIndex = leader.node.lastIndex();
+        for (int i = 0; i < 40; i++) {
+            leader.node.step(
+                    new ConsensusEvent.Proposal(1_000 + i, Payload.copyOf(new byte[payloadBytes]), Optional.empty()));
+        }
+
+        assertThat(leader.node.lastIndex() - lastIndex).isEqualTo(expectedAdmitted);
+        if (expectedAdmitted < 40) {
+            assertThat(leader.node.drain())
+                    .contains(new ConsensusEffect.ProposalRefused(1_039, FailureType.QUEUE_FULL));
+        }
+    }
+
     @Test
     void aMembershipChangeIsRefusedUntilThePreviousOneIsCommitted() {
         LogHarness harness = harness(5, ConsensusRule.PRE_VOTE, true);
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
@@ -40,7 +40,8 @@
         this.rules = rules;
         // Odd seeds send one record per message, so that histories can diverge between any two records.
         int batchBytes = seed % 2 == 1 ? 1 : 1 << 16;
-        this.parameters = new ConsensusParameters(ELECTION_TIMEOUT_MS, HEARTBEAT_MS, batchBytes, 64, 4);
+        this.parameters =
+                new ConsensusParameters(ELECTION_TIMEOUT_MS, HEARTBEAT_MS, batchBytes, 64, 1 << 20, 4, 1 << 20);
         this.initialIds = new ArrayList<>();
         for (int i = 1; i <= members; i++) {
             initialIds.add("c" + i);
