End the process when an Error ends one of its threads

Fix: FatalErrorHandler ends the process with a line and status 70 when an Error escapes a thread or anything escapes the main thread. An Error on the consensus thread ends it too, since the event loop would go on with undefined state.

--- a/control/src/main/java/org/hornbeamspread/control/ControlMain.java
+++ b/control/src/main/java/org/hornbeamspread/control/ControlMain.java
@@ -5,6 +5,7 @@
 import org.hornbeamspread.control.settings.ControlSettings;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.runtime.CommandLine;
+import org.hornbeamspread.runtime.FatalErrorHandler;
 
 /** Starts the control daemon, which runs until SIGTERM. */
 public final class ControlMain {
@@ -18,6 +19,7 @@
      */
     @SuppressWarnings("ShutdownHook")
     public static void main(String[] arguments) {
+        FatalErrorHandler.install(BINARY);
         ControlOptions options = new ControlOptions();
         if (CommandLine.printHelpOrVersion(BINARY, options, System.out, arguments)) {
             return;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMain.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyMain.java
@@ -4,6 +4,7 @@
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.runtime.CommandLine;
+import org.hornbeamspread.runtime.FatalErrorHandler;
 import org.hornbeamspread.runtime.MonotonicClock;
 
 /** Starts the proxy daemon. */
@@ -19,6 +20,7 @@
     /** Runs until SIGTERM. The exit code is 2 for an invalid setting and 1 for another startup failure. */
     @SuppressWarnings("ShutdownHook")
     public static void main(String[] arguments) {
+        FatalErrorHandler.install(BINARY);
         ProxyOptions options = new ProxyOptions();
         if (CommandLine.printHelpOrVersion(BINARY, options, System.out, arguments)) {
             return;
