Refuse announcements that name no usable database

A departure without a start time applies to the registered incarnation.

SystemWatchTest took an instance with port 70,000 for an update that is refused as a whole. That is the fault: a proxy received no update any more that contained the entry. The test now has a malformed position for the refusal, with the same assertions, and a case of its own for the entry. ControlStateMachineTest's fixtures got slots and a failure domain, which every accepted entry has.

--- a/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
@@ -134,7 +134,7 @@
 
     private static DatabaseInstance lastAnnouncement(LostCopy copy) {
         return new DatabaseInstance(
-                copy.instanceId(), copy.service(), copy.address(), "", 0, true, false, copy.bornMs(), 0);
+                copy.instanceId(), copy.service(), copy.address(), "unknown", 1, true, false, copy.bornMs(), 0);
     }
 
     private record DatabaseKey(String instanceId, long bornMs, String address) {
--- a/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
@@ -206,7 +206,7 @@
     }
 
     private Optional<FailureException> changeInstances(ChangeInstances change) {
-        change.getAnnouncedList().forEach(announced -> instances.announce(RouteMessages.instance(announced)));
+        RouteMessages.usableInstances(change.getAnnouncedList()).forEach(instances::announce);
         change.getDepartedList().forEach(departed -> instances.depart(RouteMessages.departure(departed)));
         instances.markRecovered(
                 change.getRecoveredList().stream().map(RouteMessages::lostCopy).toList());
--- a/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
@@ -274,6 +274,8 @@
                 .setEndpoint(endpoint(port))
                 .setBornMs(bornMs)
                 .setSequence(1)
+                .setSlots(2)
+                .setFailureDomain("domain")
                 .build();
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
+++ b/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
@@ -45,8 +45,15 @@
         NEW
     }
 
-    /** A departed database. Announcements of its id with this start time or an earlier one are ignored. */
-    public record Departure(String instanceId, long bornMs) {}
+    /**
+     * A departed database. Announcements of its id with this start time or an earlier one are ignored.
+     *
+     * @param bornMs the start time of the process; {@link #EVERY_INCARNATION} for the registered incarnation, whichever it is
+     */
+    public record Departure(String instanceId, long bornMs) {
+        /** The start time of a departure that does not state one. */
+        public static final long EVERY_INCARNATION = Long.MAX_VALUE;
+    }
 
     /** Compares an announcement to the registered state without applying it. */
     public AnnouncementStatus classify(DatabaseInstance announced) {
@@ -83,9 +90,19 @@
         instances.put(announced.instanceId(), announced);
     }
 
-    /** Removes a database unless a later incarnation of it is registered; retains the departure in either case. */
-    public void depart(Departure departure) {
-        DatabaseInstance registered = instances.get(departure.instanceId());
+    /**
+     * Removes a database unless a later incarnation of it is registered; retains the departure in either case. A departure without a
+     * start time applies to the registered incarnation only, since the id may start again.
+     */
+    public void depart(Departure stated) {
+        DatabaseInstance registered = instances.get(stated.instanceId());
+        Departure departure = stated;
+        if (stated.bornMs() > DatabaseInstance.MAX_BORN_MS) {
+            if (registered == null) {
+                return;
+            }
+            departure = new Departure(stated.instanceId(), registered.bornMs());
+        }
         if (registered != null && registered.bornMs() <= departure.bornMs()) {
             instances.remove(departure.instanceId());
             addLostCopy(LostCopy.of(registered));
--- a/core/src/test/java/org/hornbeamspread/core/route/InstanceRegistryTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/route/InstanceRegistryTest.java
@@ -54,6 +54,19 @@
                         AnnouncementStatus.OUTDATED));
     }
 
+    /** A deregistration without a start time refused its id for ever, though databases start again under the id that they had. */
+    @Test
+    void departureWithoutAStartTimeAppliesToTheRegisteredIncarnation() {
+        registry.announce(REGISTERED);
+        registry.depart(new Departure("a", Departure.EVERY_INCARNATION));
+        registry.announce(REGISTERED);
+        assertThat(registry.all()).isEmpty();
+
+        DatabaseInstance restarted = instance("a", 1, 200, 1, false);
+        registry.announce(restarted);
+        assertThat(registry.all()).containsExactly(restarted);
+    }
+
     /**
      * A delayed announcement of an earlier incarnation at the address of a departed database is no proof that the departed process
      * has ended, and commits that it acknowledged meanwhile were lost at a promotion.
--- a/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
@@ -1,6 +1,11 @@
 package org.hornbeamspread.transport;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayList;
+import java.util.List;
 import org.hornbeamspread.core.membership.Address;
+import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.InstanceRegistry.Departure;
@@ -20,6 +25,8 @@
 
 /** Conversions between the wire forms of routes and instances, and the types of {@code core}. */
 public final class RouteMessages {
+    private static final Logger LOG = System.getLogger(RouteMessages.class.getName());
+
     private RouteMessages() {}
 
     /** A configuration from its wire form. */
@@ -49,7 +56,23 @@
         return wire;
     }
 
-    /** An instance from its wire form. */
+    /**
+     * The instances in a list from a log, a snapshot or another process, without those that do not name a usable database: an
+     * earlier version accepted them.
+     */
+    public static List<DatabaseInstance> usableInstances(List<RegisteredInstance> wire) {
+        List<DatabaseInstance> usable = new ArrayList<>();
+        for (RegisteredInstance instance : wire) {
+            try {
+                usable.add(instance(instance));
+            } catch (FailureException e) {
+                LOG.log(Level.WARNING, "ignored instance {0}: {1}", instance.getInstanceId(), e.getMessage());
+            }
+        }
+        return usable;
+    }
+
+    /** An instance from its wire form. Fails with INVALID_REQUEST if it does not name a usable database. */
     public static DatabaseInstance instance(RegisteredInstance wire) {
         return new DatabaseInstance(
                 wire.getInstanceId(),
@@ -109,7 +132,7 @@
     /** Replaces the contents of a registry by those of a control state. */
     public static void restore(InstanceRegistry registry, ControlState state) {
         registry.restore(
-                state.getInstancesList().stream().map(RouteMessages::instance).toList(),
+                usableInstances(state.getInstancesList()),
                 state.getDeparturesList().stream().map(RouteMessages::departure).toList(),
                 state.getLostCopiesList().stream().map(RouteMessages::lostCopy).toList());
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -16,6 +16,7 @@
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.placement.ProxyCountEstimate;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.RouteConfiguration;
@@ -212,6 +213,10 @@
     }
 
     private void onUpdate(SystemUpdate update) {
+        // Decoded first, so that no part of a malformed update is applied.
+        List<LogPosition> positions = update.getPositionsList().stream()
+                .map(primaryPosition -> Envelopes.position(primaryPosition.getPosition()))
+                .toList();
         engine.setControlReachable(true);
         if (!controlReachable) {
             controlReachable = true;
@@ -244,18 +249,18 @@
         }
         // Control sent the update at this time or later: the time on the network is not known.
         long sentAtMs = Math.min(requestedAtMs + update.getHeldMs(), clock.millis());
-        for (PrimaryPosition primaryPosition : update.getPositionsList()) {
+        for (int i = 0; i < positions.size(); i++) {
+            PrimaryPosition primaryPosition = update.getPositions(i);
             engine.onSharedPosition(
                     primaryPosition.getService(),
                     sentAtMs - primaryPosition.getAgeMs(),
                     requestEpoch,
-                    Envelopes.position(primaryPosition.getPosition()));
+                    positions.get(i));
         }
     }
 
     private void onViewChanged(SystemUpdate update, int proxyCount) {
-        List<DatabaseInstance> received =
-                update.getInstancesList().stream().map(RouteMessages::instance).toList();
+        List<DatabaseInstance> received = RouteMessages.usableInstances(update.getInstancesList());
         if (!update.getDelta()) {
             instancesById.clear();
         }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -16,6 +16,8 @@
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.Position;
+import org.hornbeamspread.protocol.schema.PrimaryPosition;
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
@@ -78,8 +80,10 @@
         nextWatch()
                 .answer(update(2)
                         .setDelta(true)
-                        .addInstances(instance("b", 70_000))
-                        .addRemovedInstanceIds("a"));
+                        .addInstances(instance("b", 1))
+                        .addRemovedInstanceIds("a")
+                        .addPositions(PrimaryPosition.newBuilder()
+                                .setPosition(Position.newBuilder().setTerm(-1))));
 
         Watch retried = nextWatch();
         assertThat(retried.request().getSystemVersion()).isEqualTo(0);
@@ -89,6 +93,21 @@
         assertThat(instanceIds()).containsExactly("b");
     }
 
+    /** An instance that names no usable database kept a proxy from every update that contained it. */
+    @Test
+    void unusableInstanceIsIgnoredAndTheOthersAreApplied() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addInstances(instance("a", 1)));
+        nextWatch()
+                .answer(update(2)
+                        .setDelta(true)
+                        .addInstances(instance("b", 70_000))
+                        .addInstances(instance("c", 1)));
+
+        assertThat(nextWatch().request().getSystemVersion()).isEqualTo(2);
+        assertThat(instanceIds()).containsExactly("a", "c").inOrder();
+    }
+
     private void start() {
         Endpoint endpoint = Endpoint.newBuilder()
                 .setHost("127.0.0.1")
@@ -130,6 +149,8 @@
         return RegisteredInstance.newBuilder()
                 .setInstanceId(id)
                 .setService("ledger")
+                .setFailureDomain("domain")
+                .setSlots(2)
                 .setEndpoint(Endpoint.newBuilder().setHost("10.0.0.1").setPort(port))
                 .build();
     }
