Stop counting members whose address has refused connections for seconds

Callers saw no promotion after a crash of the primary while a well-formed entry whose address refuses connections stood in the registry: it was a member that never responds, and left out only after 12 s of silence, which an entry that is repeated never reaches.

Fix: a member whose address refuses connections, or where another instance responds, for 3 s without a response in between counts as ended, if the primary and another replica were found to hold everything after the first refusal. The start time in its announcements identifies the process; without one the old rule holds. A member that only times out still counts, since it may hold commits alone.

Evidence: SyncGroupFailoverTest.memberThatRefusesConnectionsDoesNotPreventAPromotionForLong. SimulatedGroup passes the start times of processes.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -216,7 +216,8 @@
                             member.draining(),
                             member.primary(),
                             nowMs - lastAnnouncedAtMs.getOrDefault(member.instanceId(), nowMs),
-                            lostCopies.stream().anyMatch(copy -> copy.address().equals(member.address()))))
+                            lostCopies.stream().anyMatch(copy -> copy.address().equals(member.address())),
+                            member.bornMs()))
                     .toList();
             Optional<String> primaryId = primary().map(DatabaseInstance::instanceId);
             long proofAgeMs = primaryId
@@ -392,6 +393,11 @@
             }
         }
 
+        /** Whether a failure to connect shows that the intended instance does not listen at its address. */
+        private boolean isNotListening(FailureType failure) {
+            return failure == FailureType.CONNECTION_REFUSED || failure == FailureType.UNKNOWN_DATABASE;
+        }
+
         private void sendCommand(
                 String instanceId,
                 java.util.function.Function<DatabaseInstance, CompletableFuture<ReplicaStatus>> command,
@@ -421,7 +427,7 @@
                         if (error == null) {
                             onStatus.accept(instanceId, status);
                             advance();
-                        } else if (FailureException.of(error).type() == FailureType.CONNECTION_REFUSED) {
+                        } else if (isNotListening(FailureException.of(error).type())) {
                             failover.onConnectionRefused(instanceId);
                         }
                     }));
--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
@@ -21,6 +21,12 @@
  * Confined to one thread.
  */
 final class ReplicaCoverage {
+    /**
+     * A member that announces itself while its address refuses connections counts as ended after this long. A process that has just
+     * started may announce itself before it listens.
+     */
+    private static final long MIN_REFUSED_MS = 3_000;
+
     private final Clock clock;
     private final SyncFailoverTimings timings;
 
@@ -30,10 +36,11 @@
      */
     private final Map<LostCopy, Long> endedAtMs = new HashMap<>();
 
-    /** The time since which connections to a member are refused, with no response or announcement from the member. */
-    private final Map<String, Long> refusedSinceMs = new HashMap<>();
+    /** The refusals of connections to each member, since its last response. */
+    private final Map<String, Refusals> refusals = new HashMap<>();
 
-    private final Map<String, Long> refusedAtMs = new HashMap<>();
+    /** The start time of each member. */
+    private final Map<String, Long> bornMsById = new HashMap<>();
 
     /** The proof whose position a replica has yet to receive. */
     private Optional<PrimaryProof> target = Optional.empty();
@@ -52,9 +59,15 @@
         snapshot.lostCopies().stream()
                 .filter(copy -> !snapshot.departedCopies().contains(copy))
                 .forEach(this::onProcessEnded);
-        snapshot.members().stream()
-                .filter(member -> !isSilent(member))
-                .forEach(member -> onResponse(member.instanceId()));
+        bornMsById.clear();
+        snapshot.members().forEach(member -> bornMsById.put(member.instanceId(), member.bornMs()));
+        snapshot.members().stream().filter(this::mayHaveRestarted).forEach(member -> onResponse(member.instanceId()));
+    }
+
+    /** Whether a member announced another start time than it had when connections were refused, or announces none at all. */
+    private boolean mayHaveRestarted(MemberView member) {
+        Refusals refused = refusals.get(member.instanceId());
+        return member.bornMs() == 0 ? !isSilent(member) : refused != null && refused.bornMs() != member.bornMs();
     }
 
     /** Handles the observation that the process of a lost copy has ended. */
@@ -71,20 +84,29 @@
 
     /** Handles a connection refused at a member's address, which shows that the member's process has ended. */
     void onConnectionRefused(String instanceId) {
-        refusedSinceMs.putIfAbsent(instanceId, clock.millis());
-        refusedAtMs.put(instanceId, clock.millis());
+        long nowMs = clock.millis();
+        Refusals earlier = refusals.get(instanceId);
+        long sinceMs = earlier == null ? nowMs : earlier.sinceMs();
+        refusals.put(instanceId, new Refusals(bornMsById.getOrDefault(instanceId, 0L), sinceMs, nowMs));
     }
 
     void onResponse(String instanceId) {
-        refusedSinceMs.remove(instanceId);
-        refusedAtMs.remove(instanceId);
+        refusals.remove(instanceId);
     }
 
-    /** Whether a check is due: the process of a lost copy has ended, or a member is silent and the last check is too old. */
+    /**
+     * Whether a check is due: the process of a lost copy has ended, or the process of a member may have, and the last check is too
+     * old.
+     */
     boolean isCheckDue(GroupSnapshot snapshot) {
         boolean intervalElapsed = clock.millis() - coveredUntilMs >= timings.coverageCheckIntervalMs();
         return !endedAtMs.isEmpty()
-                || (intervalElapsed && snapshot.members().stream().anyMatch(this::isSilent));
+                || (intervalElapsed && snapshot.members().stream().anyMatch(this::mayHaveEnded));
+    }
+
+    /** Whether a member is silent or refuses connections. */
+    boolean mayHaveEnded(MemberView member) {
+        return isSilent(member) || refusals.containsKey(member.instanceId());
     }
 
     /** Compares the positions that replicas have received with the position that the primary had after the latest end of a lost copy. */
@@ -115,19 +137,33 @@
     /**
      * Whether a member need not be fenced: its process has ended, and other members hold every commit that it may have
      * acknowledged. Silence alone does not prove that, because a database that control cannot reach may continue to acknowledge.
+     *
+     * <p>An announcement does not disprove it either, as long as its start time is the same: a process that has ended does not
+     * announce itself, but its delayed announcements, or an entry that names no running database, may still arrive.
      */
     boolean needsNoFencing(MemberView member) {
-        Long sinceMs = refusedSinceMs.get(member.instanceId());
-        return isSilent(member)
-                && sinceMs != null
-                && sinceMs < coveredUntilMs
-                && clock.millis() - refusedAtMs.get(member.instanceId()) <= 2 * timings.coverageCheckIntervalMs();
+        Refusals refused = refusals.get(member.instanceId());
+        return refused != null
+                && (isSilent(member) || (member.bornMs() > 0 && refused.durationMs() >= MIN_REFUSED_MS))
+                && refused.sinceMs() < coveredUntilMs
+                && clock.millis() - refused.latestMs() <= 2 * timings.coverageCheckIntervalMs();
     }
 
     boolean isSilent(MemberView member) {
         return member.silentMs() > timings.silenceMs();
     }
 
+    /**
+     * Refused connections without a response in between.
+     *
+     * @param bornMs the start time that the member had announced; 0 if unknown
+     */
+    private record Refusals(long bornMs, long sinceMs, long latestMs) {
+        long durationMs() {
+            return latestMs - sinceMs;
+        }
+    }
+
     private long latestEndMs() {
         return endedAtMs.values().stream().mapToLong(Long::longValue).max().orElse(Long.MIN_VALUE / 2);
     }
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -114,9 +114,10 @@
      * @param primary whether the member reports that it is the primary
      * @param silentMs time since the member's last announcement to this leader
      * @param logUnproven whether another incarnation at the member's address was lost, possibly with acknowledged commits
+     * @param bornMs the start time of the member's process, in ms since 1970; 0 if it is unknown
      */
     public record MemberView(
-            String instanceId, boolean draining, boolean primary, long silentMs, boolean logUnproven) {}
+            String instanceId, boolean draining, boolean primary, long silentMs, boolean logUnproven, long bornMs) {}
 
     /**
      * The state of the group that the next effects are decided from.
@@ -286,13 +287,18 @@
             }
         }
         effects.addAll(queryUnknownPauseStates(snapshot, nowMs));
-        coverage.possiblyRunningCopies(snapshot).stream()
-                .filter(copy -> isDue("end " + copy, nowMs))
-                .forEach(copy -> effects.add(new CheckProcessEnd(copy)));
+        effects.addAll(checkProcessEnds(snapshot, nowMs));
         effects.addAll(checkCoverage(snapshot, nowMs));
         return effects;
     }
 
+    private List<SyncFailoverEffect> checkProcessEnds(GroupSnapshot snapshot, long nowMs) {
+        return coverage.possiblyRunningCopies(snapshot).stream()
+                .filter(copy -> isDue("end " + copy, nowMs))
+                .<SyncFailoverEffect>map(CheckProcessEnd::new)
+                .toList();
+    }
+
     /** Requests the status of replicas that have not reported any, because the previous leader may have left them paused. */
     private List<SyncFailoverEffect> queryUnknownPauseStates(GroupSnapshot snapshot, long nowMs) {
         respondedIds.retainAll(
@@ -327,7 +333,7 @@
             return isDue("recover", nowMs) ? List.of(new Recover(recovered)) : List.of();
         }
         return snapshot.members().stream()
-                .filter(member -> replicas.contains(member) || coverage.isSilent(member))
+                .filter(member -> replicas.contains(member) || coverage.mayHaveEnded(member))
                 .filter(member -> isDue("coverage " + member.instanceId(), nowMs))
                 .<SyncFailoverEffect>map(member -> new AskStatus(member.instanceId()))
                 .toList();
@@ -346,7 +352,7 @@
     /**
      * Whether an accepted promotion may not have taken effect yet. Until it has, the previous primary may still lead: a resumed
      * replica would acknowledge commits for that primary, and another promotion would rely on state that the first one is about
-     * to undo.
+     * to undo. An instance that departs in the meantime takes over as long as its process runs.
      */
     private boolean awaitsTakeover(GroupSnapshot snapshot, long nowMs) {
         if (concludedToken != snapshot.token()) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
@@ -14,6 +14,10 @@
     final String id;
     final long bornMs;
     long sequence;
+
+    /** The start time of the process. It differs from {@link #bornMs} after a restart as the registered incarnation. */
+    long startedAtMs = 1;
+
     boolean up = true;
     long downSinceMs;
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -89,6 +89,10 @@
     private final List<SimulatedDatabase> databases = new ArrayList<>();
     private final InstanceRegistry registry = new InstanceRegistry();
     private final Map<String, Long> announcedAtMs = new HashMap<>();
+
+    /** The start time of the process that sent the latest announcement under each id. */
+    private final Map<String, Long> announcedStartMs = new HashMap<>();
+
     private final Deque<DelayedPromotion> delayedPromotions = new ArrayDeque<>();
     private int addressCount;
     private int idCount;
@@ -210,6 +214,7 @@
             next.drainingSinceMs = database.drainingSinceMs;
             addTrace("restart of " + database.id + " as " + next.id);
         }
+        next.startedAtMs = clock.millis();
         databases.set(databases.indexOf(database), next);
     }
 
@@ -281,6 +286,7 @@
     private void deliverAnnouncement(SimulatedDatabase database) {
         registry.announce(database.announcement());
         announcedAtMs.put(database.id, clock.millis());
+        announcedStartMs.put(database.id, database.startedAtMs);
         database.announced |= delayedPromotions.isEmpty() && takeovers.isEmpty();
     }
 
@@ -348,7 +354,8 @@
                         member.draining(),
                         member.primary(),
                         clock.millis() - announcedAtMs.getOrDefault(member.instanceId(), clock.millis()),
-                        lostCopies.stream().anyMatch(copy -> copy.address().equals(member.address()))))
+                        lostCopies.stream().anyMatch(copy -> copy.address().equals(member.address())),
+                        announcedStartMs.getOrDefault(member.instanceId(), 0L)))
                 .toList();
         Optional<SimulatedDatabase> reachablePrimary = primary()
                 .filter(database -> database.up && database.reachable)
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -33,9 +33,9 @@
 final class SyncGroupFailoverTest {
     private static final SyncFailoverTimings TIMINGS =
             new SyncFailoverTimings(1_000, 500, 600, 3_000, 2_000, 300, 250, 4_000, 12_000, 1_000);
-    private static final MemberView PRIMARY = new MemberView("p", false, true, 100, false);
-    private static final MemberView A = new MemberView("a", false, false, 100, false);
-    private static final MemberView B = new MemberView("b", false, false, 100, false);
+    private static final MemberView PRIMARY = new MemberView("p", false, true, 100, false, 0);
+    private static final MemberView A = new MemberView("a", false, false, 100, false, 0);
+    private static final MemberView B = new MemberView("b", false, false, 100, false, 0);
 
     private final ManualClock clock = new ManualClock();
     private final SyncGroupFailover failover = new SyncGroupFailover(clock, TIMINGS);
@@ -115,7 +115,7 @@
      */
     @Test
     void replicaBehindADemotedSuccessorIsNotChosen() {
-        members = List.of(PRIMARY, new MemberView("a", false, true, 50, false), B);
+        members = List.of(PRIMARY, new MemberView("a", false, true, 50, false, 0), B);
         raiseToken();
         step(1_100);
         failover.onStatus("b", replica(1, 9, 2));
@@ -149,7 +149,7 @@
      */
     @Test
     void drainingPrimaryIsNotReplacedAgainDuringTakeover() {
-        members = List.of(new MemberView("p", true, true, 100, false), A, B);
+        members = List.of(new MemberView("p", true, true, 100, false, 0), A, B);
         raiseToken();
         step(100);
         failover.onDemoted("p", replica(3, 60, 0));
@@ -172,7 +172,7 @@
     /** Commits were acknowledged between the promotion request and the takeover by the successor (incident inc1, ujaas-core). */
     @Test
     void drainingPrimaryAcknowledgesNothingDuringTakeover() {
-        members = List.of(new MemberView("p", true, true, 0, false), A, B);
+        members = List.of(new MemberView("p", true, true, 0, false, 0), A, B);
         assertThat(step(0)).containsExactly(new RaiseToken(0));
         failover.onLogCommitEnded(true);
         token = 1;
@@ -220,7 +220,7 @@
     void drainingPrimaryIsReplacedOnlyAfterThePromotionTimeout() {
         token = 1;
         chosenId = Optional.of("p");
-        members = List.of(new MemberView("p", true, true, 0, false), A, B);
+        members = List.of(new MemberView("p", true, true, 0, false, 0), A, B);
         for (int i = 0; i < 10; i++) {
             assertThat(step(0)).isEmpty();
             advance(300);
@@ -235,7 +235,7 @@
     void earlierPromotionDoesNotDelayReplacementOfALostPrimary() {
         token = 1;
         chosenId = Optional.of("p");
-        members = List.of(new MemberView("p", false, true, 9_000, false), A, B);
+        members = List.of(new MemberView("p", false, true, 9_000, false, 0), A, B);
         step(9_000);
         advance(601);
 
@@ -244,7 +244,7 @@
 
     @Test
     void drainingReplicaIsNotChosenOverAnEquallyAdvancedReplica() {
-        members = List.of(PRIMARY, new MemberView("a", true, false, 100, false), B);
+        members = List.of(PRIMARY, new MemberView("a", true, false, 100, false, 0), B);
         raiseToken();
         step(1_100);
         failover.onStatus("a", replica(3, 60, 4));
@@ -300,7 +300,7 @@
         concluded = true;
         advance(900);
         assertThat(withoutFencing(step(0))).isEmpty();
-        members = List.of(A, new MemberView("b", false, true, 50, false));
+        members = List.of(A, new MemberView("b", false, true, 50, false, 0));
 
         assertThat(step(0)).containsExactly(new Resume("a"));
         failover.onResumed("a");
@@ -331,7 +331,7 @@
     @ParameterizedTest
     @CsvSource({"false, false", "true, true"})
     void silentReplicaIsExcludedOnlyWhileItsAddressRefusesConnections(boolean processEnded, boolean expectedChoice) {
-        members = List.of(PRIMARY, new MemberView("a", false, false, 12_500, false), B);
+        members = List.of(PRIMARY, new MemberView("a", false, false, 12_500, false, 0), B);
         for (int i = 0; i < 3; i++) {
             if (processEnded) {
                 failover.onConnectionRefused("a");
@@ -347,6 +347,58 @@
         assertThat(hasChoice(step(1_100))).isEqualTo(expectedChoice);
     }
 
+    /**
+     * One entry that names no running database, announced once a second, became a member that never responds, and no promotion took
+     * place after the primary crashed. The entry counts until its address has refused connections for 3 s and another replica covers
+     * the primary, unless an incarnation with another start time announces itself.
+     */
+    @ParameterizedTest
+    @CsvSource({"4000, 7, 7, true", "2000, 7, 7, false", "4000, 7, 8, false", "4000, 0, 0, false"})
+    void memberThatRefusesConnectionsDoesNotPreventAPromotionForLong(
+            long refusedMs, long bornMs, long laterBornMs, boolean expectedChoice) {
+        for (long atMs = 0; atMs <= refusedMs; atMs += 100) {
+            members = List.of(PRIMARY, A, B, new MemberView("odd", false, false, atMs % 1_000, false, bornMs));
+            if (atMs % 300 == 0) {
+                failover.onConnectionRefused("odd");
+            }
+            proof = Optional.of(new PrimaryProof(new LogPosition(3, 50), clock.millis()));
+            failover.onStatus("a", replica(3, 50, 0));
+            failover.onStatus("b", replica(3, 50, 0));
+            step(0);
+            advance(100);
+        }
+        members = List.of(PRIMARY, A, B, new MemberView("odd", false, false, 0, false, laterBornMs));
+        raiseToken();
+        failover.onConnectionRefused("odd");
+        failover.onStatus("a", replica(3, 50, 4));
+        failover.onStatus("b", replica(3, 50, 4));
+
+        assertThat(hasChoice(step(1_100))).isEqualTo(expectedChoice);
+    }
+
+    /** A member that answered once after it was refused may hold commits alone. */
+    @Test
+    void memberThatRespondsAfterRefusalsIsFenced() {
+        members = List.of(PRIMARY, A, B, new MemberView("late", false, false, 100, false, 7));
+        for (long atMs = 0; atMs <= 6_000; atMs += 100) {
+            if (atMs == 5_000) {
+                failover.onStatus("late", replica(3, 50, 0));
+            } else if (atMs % 300 == 0) {
+                failover.onConnectionRefused("late");
+            }
+            proof = Optional.of(new PrimaryProof(new LogPosition(3, 50), clock.millis()));
+            failover.onStatus("b", replica(3, 50, 0));
+            step(0);
+            advance(100);
+        }
+        raiseToken();
+        failover.onConnectionRefused("late");
+        failover.onStatus("a", replica(3, 50, 4));
+        failover.onStatus("b", replica(3, 50, 4));
+
+        assertThat(hasChoice(step(1_100))).isFalse();
+    }
+
     /**
      * A replica whose departure was committed but not answered acknowledged commits for 5 s more, and the only other replica,
      * which lacked them, was promoted (review case 1). However long the process runs, its copy is recovered only after its end.
@@ -393,7 +445,7 @@
         step(1_100);
         failover.onStatus("a", new ReplicaStatus(false, 0, LogPosition.NONE, 4));
         advance(200);
-        members = List.of(PRIMARY, new MemberView("a", false, false, silentMs, false), B);
+        members = List.of(PRIMARY, new MemberView("a", false, false, silentMs, false, 0), B);
         failover.onStatus("a", new ReplicaStatus(false, 0, LogPosition.NONE, 4));
         failover.onStatus("b", replica(3, 60, 4));
 
@@ -404,7 +456,7 @@
     @Test
     void restartedPrimaryIsNotDemotedWhileItsLogIsUnproven() {
         raiseToken();
-        members = List.of(new MemberView("p", false, true, 0, true), A, B);
+        members = List.of(new MemberView("p", false, true, 0, true, 0), A, B);
         lostCopies = List.of(
                 new LostCopy("s", new Address("10.0.0.1", 1), "p", 1),
                 new LostCopy("s", new Address("10.0.0.9", 1), "c", 1));
@@ -488,7 +540,7 @@
 
     @Test
     void drainingPrimaryIsReplacedWhileItWorks() {
-        members = List.of(new MemberView("p", true, true, 100, false), A, B);
+        members = List.of(new MemberView("p", true, true, 100, false, 0), A, B);
 
         assertThat(step(0)).containsExactly(new RaiseToken(0));
     }
