Keep replicas fenced while a departed instance may take over

Callers would lose acknowledged commits: an instance departed after its promotion was accepted and before it took effect, its process ran on, control resumed the other replica, which acknowledged for the old primary, and the departed instance took over without these commits.

Cause: the wait for a takeover, and the wait for an earlier candidate, looked only at registered members. Fix: departed instances whose process may still run count for both, until their end is observed.

SyncGroupFailoverTest.replicasStayPausedWhileADepartedInstanceMayTakeOver.

--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -8,8 +8,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.core.route.LostCopy;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /**
@@ -48,6 +50,9 @@
     /** Members at the address of a lost copy; their logs may lack commits that the lost copy had acknowledged. */
     private Set<String> unprovenLogIds = Set.of();
 
+    /** Departed instances whose process may still run. */
+    private Set<String> departedRunningIds = Set.of();
+
     private long startedAtMs;
 
     FencingState(Clock clock, SyncFailoverTimings timings) {
@@ -66,14 +71,21 @@
         startedAtMs = clock.millis();
     }
 
-    /** Updates which members have unproven logs. */
-    void updateMembers(List<MemberView> members) {
+    /** Updates which members have unproven logs, and which departed instances may still run. */
+    void updateMembers(List<MemberView> members, List<LostCopy> possiblyRunningCopies) {
+        departedRunningIds =
+                possiblyRunningCopies.stream().map(LostCopy::instanceId).collect(Collectors.toUnmodifiableSet());
         unprovenLogIds = members.stream()
                 .filter(MemberView::logUnproven)
                 .map(MemberView::instanceId)
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /** Whether an instance has departed and its process may still run, so that an earlier promotion of it may take effect. */
+    boolean isDepartedAndRunning(String id) {
+        return departedRunningIds.contains(id);
+    }
+
     /** Time since the token was raised. */
     long elapsedMs() {
         return clock.millis() - startedAtMs;
@@ -165,8 +177,7 @@
      * it then acknowledges before this candidate leads would be lost.
      */
     private boolean differsFromEarlierCandidate(List<MemberView> members, MemberView candidate) {
-        return members.stream()
-                .map(MemberView::instanceId)
+        return Stream.concat(members.stream().map(MemberView::instanceId), departedRunningIds.stream())
                 .anyMatch(id -> earlierCandidates.contains(id) && !id.equals(candidate.instanceId()));
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -162,8 +162,8 @@
     public List<SyncFailoverEffect> step(GroupSnapshot snapshot) {
         long nowMs = clock.millis();
         lastPrimaryProofAtMs = Math.max(lastPrimaryProofAtMs, nowMs - snapshot.primaryProofAgeMs());
-        fencing.updateMembers(snapshot.members());
         coverage.updateLosses(snapshot);
+        fencing.updateMembers(snapshot.members(), coverage.possiblyRunningCopies(snapshot));
         if (logCommitPending || snapshot.members().isEmpty()) {
             return List.of();
         }
@@ -262,7 +262,9 @@
 
     private List<SyncFailoverEffect> monitorPrimary(GroupSnapshot snapshot, long nowMs) {
         if (awaitsTakeover(snapshot, nowMs)) {
-            return keepFenced(snapshot, nowMs);
+            List<SyncFailoverEffect> effects = new ArrayList<>(keepFenced(snapshot, nowMs));
+            effects.addAll(checkProcessEnds(snapshot, nowMs));
+            return effects;
         }
         long limitMs = snapshot.connectionRefused() ? timings.refusedDetectionMs() : timings.detectionMs();
         boolean lost =
@@ -366,6 +368,8 @@
         boolean promotedNotLeading = promoted.filter(member ->
                         !member.primary() || (ownPromotion && member.silentMs() >= nowMs - promotionAcceptedAtMs))
                 .isPresent();
+        promotedNotLeading |=
+                snapshot.chosenId().filter(fencing::isDepartedAndRunning).isPresent();
         boolean earlierRequestPending = earlierPromotionPending && ownPromotion;
         if ((promotedNotLeading || earlierRequestPending)
                 && nowMs - promotionAcceptedAtMs <= timings.promotionTimeoutMs()) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -308,6 +308,31 @@
         assertThat(step(0)).isEmpty();
     }
 
+    /**
+     * The promoted instance departed before its promotion took effect, and its process ran on. The other replica was resumed, and
+     * commits that it acknowledged for the old primary were lost when the departed instance took over.
+     */
+    @Test
+    void replicasStayPausedWhileADepartedInstanceMayTakeOver() {
+        chooseB();
+        step(2_000);
+        failover.onPromotionResult(1, true);
+        step(2_000);
+        failover.onLogCommitEnded(true);
+        concluded = true;
+        members = List.of(PRIMARY, A);
+        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.2", 1), "b", 1));
+        departedCopies = lostCopies;
+        advance(300);
+        List<SyncFailoverEffect> effects = step(100);
+
+        assertThat(effects).doesNotContain(new Resume("a"));
+        assertThat(effects).contains(new CheckProcessEnd(lostCopies.get(0)));
+        failover.onProcessEnded(lostCopies.get(0));
+        advance(300);
+        assertThat(step(100)).contains(new Resume("a"));
+    }
+
     @Test
     void rejectedPromotionIsRestartedUnderAHigherToken() {
         chooseB();
