--- a/protocol/src/test/java/org/hornbeamspread/runtime/FatalErrorHandlerTest.java
+++ b/protocol/src/test/java/org/hornbeamspread/runtime/FatalErrorHandlerTest.java
@@ -55,8 +55,10 @@
 
         public static void main(String[] arguments) throws Exception {
             FatalErrorHandler.install("test");
-            Throwable failure = (Throwable)
-                    Class.forName(arguments[1]).getDeclaredConstructor().newInstance();
+            Throwable failure = Class.forName(arguments[1])
+                    .asSubclass(Throwable.class)
+                    .getDeclaredConstructor()
+                    .newInstance();
             EventLoopThread<Runnable> loop =
                     new EventLoopThread<Runnable>("loop", 8, Runnable::run, Duration.ofSeconds(1), () -> {}).start();
             if (arguments[0].equals("main")) {
