--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -19,11 +19,11 @@
 import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
-import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.LostCopy;
 import org.hornbeamspread.core.sql.ReplicaStatus;
+import org.hornbeamspread.core.sql.SqlConnector;
 import org.hornbeamspread.protocol.schema.ChangeInstances;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.ControlState;
@@ -393,11 +393,6 @@
             }
         }
 
-        /** Whether a failure to connect shows that the intended instance does not listen at its address. */
-        private boolean isNotListening(FailureType failure) {
-            return failure == FailureType.CONNECTION_REFUSED || failure == FailureType.UNKNOWN_DATABASE;
-        }
-
         private void sendCommand(
                 String instanceId,
                 java.util.function.Function<DatabaseInstance, CompletableFuture<ReplicaStatus>> command,
@@ -427,7 +422,8 @@
                         if (error == null) {
                             onStatus.accept(instanceId, status);
                             advance();
-                        } else if (isNotListening(FailureException.of(error).type())) {
+                        } else if (SqlConnector.isNotListening(
+                                FailureException.of(error).type())) {
                             failover.onConnectionRefused(instanceId);
                         }
                     }));
--- a/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
@@ -78,8 +78,7 @@
                 connection.close();
                 return false;
             }
-            FailureType type = FailureException.of(error).type();
-            return type == FailureType.CONNECTION_REFUSED || type == FailureType.UNKNOWN_DATABASE;
+            return SqlConnector.isNotListening(FailureException.of(error).type());
         });
     }
 
--- a/control/src/main/java/org/hornbeamspread/control/storage/LogReader.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/LogReader.java
@@ -48,7 +48,7 @@
         ByteBuffer header = ByteBuffer.wrap(base.get());
         baseIndex = header.getLong();
         baseTerm = header.getLong();
-        validBytes = Frame.HEADER_BYTES + base.get().length;
+        validBytes = (long) Frame.HEADER_BYTES + base.get().length;
         while (validBytes < file.size()) {
             Optional<byte[]> body = Frame.read(file, validBytes);
             if (body.isEmpty()) {
--- a/core/src/main/java/org/hornbeamspread/core/sql/SqlConnector.java
+++ b/core/src/main/java/org/hornbeamspread/core/sql/SqlConnector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.route.DatabaseInstance;
 
 /** Opens connections to databases. */
@@ -12,4 +13,9 @@
      * the database accepts no further connection, REQUEST_TIMEOUT, or DATABASE_UNREACHABLE in all other cases.
      */
     CompletableFuture<SqlConnection> connect(DatabaseInstance instance, Duration timeout);
+
+    /** Whether a failure to connect shows that the instance does not listen at its address. Others may be those of the network. */
+    static boolean isNotListening(FailureType failure) {
+        return failure == FailureType.CONNECTION_REFUSED || failure == FailureType.UNKNOWN_DATABASE;
+    }
 }
