--- a/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
@@ -77,7 +77,7 @@
                 cluster.stop("c" + i);
                 // Applied and uncommitted records, retained ones, and one record beyond each limit.
                 assertThat(Files.size(cluster.directory("c" + i).resolve("log")))
-                        .isAtMost(budgetBytes * 9 / 4 + 3 * (recordBytes + 1_000));
+                        .isAtMost(budgetBytes * 9 / 4 + 3L * (recordBytes + 1_000));
             }
             cluster.startAll();
             String next = cluster.awaitLeader();
