Handle pipelined requests in a loop

Cause: each response handled the next pending request from within, four frames a request; the sessions' thread has a stack of 256 KiB. The StackOverflowError left the rest of the queue without a response.

Change: the outermost call loops; a response within it only returns to the loop.

Evidence: SessionEngineTest.pipelinedRequestsBehindAStatementFitASmallStack runs the engine on a stack of 256 KiB; red before.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
@@ -43,6 +43,7 @@
 
     private Optional<SessionOperation> currentOperation = Optional.empty();
     private ScheduledFuture<?> statementTimer;
+    private boolean handlingRequests;
     private boolean closeWhenIdle;
     private boolean closed;
     private long idleSinceMs;
@@ -134,14 +135,28 @@
         reply(result);
     }
 
+    /** Handles requests until one is in progress. A response calls this again; the loop of the outer call then continues. */
     private void handlePendingRequests() {
-        while (currentOperation.isEmpty() && !closed) {
-            SqlRequest request = pendingRequests.poll();
-            if (request == null) {
-                return;
+        if (handlingRequests) {
+            return;
+        }
+        handlingRequests = true;
+        try {
+            boolean handled = true;
+            while (handled && currentOperation.isEmpty() && !closed) {
+                handled = handleNextRequest();
             }
+        } finally {
+            handlingRequests = false;
+        }
+    }
+
+    private boolean handleNextRequest() {
+        SqlRequest request = pendingRequests.poll();
+        if (request != null) {
             handleRequest(request);
         }
+        return request != null;
     }
 
     private void handleRequest(SqlRequest request) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -48,6 +48,20 @@
         assertThat(harness.open("nobody").refusal).hasValue(SqlError.UNKNOWN_DATABASE);
     }
 
+    /** Each pipelined request took stack frames of its own; the sessions' thread has a stack of 256 KiB. */
+    @Test
+    void pipelinedRequestsBehindAStatementFitASmallStack() throws InterruptedException {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        for (int i = 0; i < 1_000; i++) {
+            client.send("s" + i, new SetValue("zone", "z" + i));
+        }
+        Thread sessions = new Thread(null, () -> harness.run(1_000), "sessions", 256 << 10);
+        sessions.start();
+        sessions.join();
+
+        assertThat(client.replies).hasSize(1 + 1_000);
+    }
+
     @Test
     void aReadOfAPrimaryRouteRunsInAReadWriteTransactionOnThePrimary() {
         Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("r1", new Read("item"));
