Keep the refusal of a message in the order of responses

Callers saw: a message over 1 MiB, or one request too many in a pipeline, was refused ahead of the responses to the requests before it. Responses carry no id, so a client takes the refusal for the response to its write, which ran; the responses themselves were not sent any more.

Cause: ClientHandler wrote the refusal as soon as the decoder failed, and ClientSession as soon as its queue was full; both ended the session with requests in progress.

SessionEngineTest.theRefusalOfARequestFollowsTheResponsesBeforeIt uses the new method.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
@@ -41,6 +41,9 @@
     /** Why the proxy aborted the transaction; present until the client has received the error. */
     private Optional<String> abortReason = Optional.empty();
 
+    /** The error that ends the session after the responses to {@link #pendingRequests}. */
+    private Optional<Refusal> refusal = Optional.empty();
+
     private Optional<SessionOperation> currentOperation = Optional.empty();
     private ScheduledFuture<?> statementTimer;
     private boolean handlingRequests;
@@ -55,14 +58,13 @@
         this.idleSinceMs = context.nowMs();
     }
 
-    /** Handles a request, or queues it behind the requests before it. */
+    /** Handles a request, or queues it behind the requests before it. Ignored after {@link #refuse}. */
     public void onRequest(SqlRequest request) {
-        if (closed) {
+        if (closed || refusal.isPresent()) {
             return;
         }
         if (pendingRequests.size() >= MAX_PENDING_REQUESTS) {
-            client.refuse(SqlError.TOO_LARGE, "too many requests without an answer");
-            onClosed();
+            refuse(SqlError.TOO_LARGE, "too many requests without an answer");
             return;
         }
         pendingRequests.add(request);
@@ -75,6 +77,17 @@
         context.events().record("request_malformed", "database", database, "detail", detail);
     }
 
+    /**
+     * Refuses a request, and every later one. The error is sent, and the session ends, after the responses to the requests before:
+     * responses carry no id, so an error ahead of its turn would be taken for the response to an earlier request.
+     */
+    public void refuse(SqlError error, String detail) {
+        if (!closed && refusal.isEmpty()) {
+            refusal = Optional.of(new Refusal(error, detail));
+            handlePendingRequests();
+        }
+    }
+
     /** Rolls back an open transaction and releases the session after the client's connection has closed. */
     public void onClosed() {
         if (closed) {
@@ -155,6 +168,9 @@
         SqlRequest request = pendingRequests.poll();
         if (request != null) {
             handleRequest(request);
+        } else if (refusal.isPresent()) {
+            client.refuse(refusal.get().error(), refusal.get().detail());
+            onClosed();
         }
         return request != null;
     }
@@ -277,12 +293,16 @@
                 && !closed
                 && state == TransactionState.IDLE
                 && currentOperation.isEmpty()
-                && pendingRequests.isEmpty()) {
+                && pendingRequests.isEmpty()
+                && refusal.isEmpty()) {
             client.close();
             onClosed();
         }
     }
 
+    /** The error that ends a session. */
+    private record Refusal(SqlError error, String detail) {}
+
     private void cancelStatementTimer() {
         if (statementTimer != null) {
             statementTimer.cancel(false);
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.hornbeamspread.core.sql.SqlError;
 import org.hornbeamspread.core.sql.SqlRequest;
+import org.hornbeamspread.core.sql.SqlResult;
 import org.hornbeamspread.core.sql.SqlStatement;
 import org.hornbeamspread.core.sql.SqlStatement.Begin;
 import org.hornbeamspread.core.sql.SqlStatement.Commit;
@@ -48,6 +49,23 @@
         assertThat(harness.open("nobody").refusal).hasValue(SqlError.UNKNOWN_DATABASE);
     }
 
+    /** Responses carry no id, so a refusal ahead of its turn is taken for the response to the oldest request (review case 5). */
+    @Test
+    void theRefusalOfARequestFollowsTheResponsesBeforeIt() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        client.send("s1", new SetValue("zone", "z1"));
+        client.session.orElseThrow().refuse(SqlError.TOO_LARGE, "");
+        client.send("w2", new Write("item", "6"));
+        assertThat(client.refusal).isEmpty();
+        harness.run(1_000);
+
+        assertThat(client.replies.stream().map(SqlResult::signature))
+                .containsExactly("signed-p", "-")
+                .inOrder();
+        assertThat(client.refusal).hasValue(SqlError.TOO_LARGE);
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("w1");
+    }
+
     /** Each pipelined request took stack frames of its own; the sessions' thread has a stack of 256 KiB. */
     @Test
     void pipelinedRequestsBehindAStatementFitASmallStack() throws InterruptedException {
@@ -62,6 +80,20 @@
         assertThat(client.replies).hasSize(1 + 1_000);
     }
 
+    /** The refusal of one request too many was sent ahead of the responses, and those were never sent. */
+    @Test
+    void pipelinedRequestsUpToTheLimitAreAnsweredBeforeTheSessionIsRefused() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        for (int i = 0; i < 1_100; i++) {
+            client.send("b" + i, i % 2 == 0 ? new Begin(false) : new Rollback());
+        }
+        harness.run(1_000);
+
+        assertThat(client.replies).hasSize(1 + 1_024);
+        assertThat(client.replies.stream().allMatch(SqlResult::isSuccess)).isTrue();
+        assertThat(client.refusal).hasValue(SqlError.TOO_LARGE);
+    }
+
     @Test
     void aReadOfAPrimaryRouteRunsInAReadWriteTransactionOnThePrimary() {
         Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("r1", new Read("item"));
