--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -200,8 +200,9 @@
             granted.pool().onLagging(Math.max(1, route.maxStalenessMs() / 4));
         }
         connectionRequest.triedInstanceIds.add(instanceId);
-        boolean retryable = error.isNotRun() || !isWrite();
-        if (retryable && error != SqlError.MALFORMED && !timedOut && !completed) {
+        boolean sameEverywhere = error == SqlError.MALFORMED || error == SqlError.TOO_LARGE;
+        boolean retryable = (error.isNotRun() || !isWrite()) && !sameEverywhere;
+        if (retryable && !timedOut && !completed) {
             context.router().retry(connectionRequest, RetryReason.of(error));
         } else {
             complete(result.withState(TransactionState.IDLE), instanceId, result.detail());
