Bound the memory of incomplete messages over all sessions

Cause: each connection was limited to one message of 1 MiB, all together were not limited.

Connections to databases are bounded by their number and have no budget.

--- a/core/src/main/java/org/hornbeamspread/core/misc/FailureType.java
+++ b/core/src/main/java/org/hornbeamspread/core/misc/FailureType.java
@@ -38,6 +38,7 @@
     DEADLINE_BEFORE_START(Effect.NOT_RUN, 429, "the request can't start before its deadline: %s"),
     CONNECTION_LIMIT(Effect.NOT_RUN, 503, "the database has no free connection: %s"),
     RING_FULL(Effect.NOT_RUN, 503, "a ring buffer between threads is full: %s"),
+    INCOMPLETE_MESSAGE_DROPPED(Effect.NOT_RUN, 503, "an incomplete message was dropped to free memory: %s"),
     RETRY_BUDGET_SPENT(Effect.NOT_RUN, 429, "the retry budget of this caller and rank is spent: %s"),
 
     // Unknown outcomes: the request may have taken effect.
--- a/protocol/src/test/java/org/hornbeamspread/transport/CrlfLineDecoderTest.java
+++ b/protocol/src/test/java/org/hornbeamspread/transport/CrlfLineDecoderTest.java
@@ -7,8 +7,10 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -16,6 +18,10 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import net.jqwik.api.Tuple;
+import org.hornbeamspread.core.admission.IncompleteMessageBudget;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.ManualClock;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -60,7 +66,7 @@
     void lineOverTheLimitIsRefused(int length, String end, boolean accepted) {
         String line = "x".repeat(length) + (end.equals("CR") ? "\r" : "");
         for (int packet = 1; packet < length + 3; packet++) {
-            EmbeddedChannel channel = channel();
+            EmbeddedChannel channel = channel(Optional.empty());
             boolean refused = false;
             try {
                 send(channel, line + "\r\n", packet);
@@ -76,7 +82,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 7, 1_000})
     void nothingBehindARefusedLineIsDecoded(int packetBytes) {
-        EmbeddedChannel channel = channel();
+        EmbeddedChannel channel = channel(Optional.empty());
         String input = "first\r\n" + "x".repeat(MAX_LINE_BYTES + 1) + "\nQUERY 1 READ a\r\nQUERY 2 READ a\r\n";
 
         assertThrows(TooLongFrameException.class, () -> send(channel, input, packetBytes));
@@ -86,6 +92,38 @@
         channel.finishAndReleaseAll();
     }
 
+    /** Connections that each pause within a message; the memory stays below the budget, and their input is dropped for good. */
+    @Test
+    void pausedMessagesAreDroppedWhenTheBudgetIsExceeded() {
+        int limitBytes = 4 * MAX_LINE_BYTES;
+        ManualClock clock = new ManualClock();
+        IncompleteMessageBudget budget = new IncompleteMessageBudget(limitBytes, clock);
+        int dropped = 0;
+        List<EmbeddedChannel> channels = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            channels.add(channel(Optional.of(budget)));
+            send(channels.get(i), "WRITE a " + "x".repeat(MAX_LINE_BYTES / 2), 1_000);
+            clock.advance(Duration.ofMillis(100));
+            assertThat(budget.totalBytes()).isAtMost(limitBytes);
+        }
+        for (EmbeddedChannel channel : channels) {
+            try {
+                channel.checkException();
+                send(channel, "end\r\n", 1_000);
+                assertThat(received(channel)).hasSize(1);
+            } catch (FailureException e) {
+                dropped++;
+                send(channel, "end\r\nQUERY 1 READ a\r\n", 1_000);
+                assertThat(received(channel)).isEmpty();
+            }
+            channel.finishAndReleaseAll();
+        }
+
+        assertThat(dropped).isGreaterThan(0);
+        assertThat(dropped).isLessThan(20);
+        assertThat(budget.totalBytes()).isEqualTo(0);
+    }
+
     /** Not by the decoder's own algorithm. */
     private static List<String> splitAtCrLf(String bytes) {
         List<String> lines = new ArrayList<>();
@@ -99,7 +137,7 @@
 
     private static List<String> decode(String bytes, long splitSeed) {
         Random random = new Random(splitSeed);
-        EmbeddedChannel channel = channel();
+        EmbeddedChannel channel = channel(Optional.empty());
         for (int from = 0; from < bytes.length(); ) {
             int to = Math.min(bytes.length(), from + 1 + random.nextInt(8));
             send(channel, bytes.substring(from, to), to - from);
@@ -109,13 +147,13 @@
     }
 
     private static List<String> decodeBytewise(String bytes) {
-        EmbeddedChannel channel = channel();
+        EmbeddedChannel channel = channel(Optional.empty());
         send(channel, bytes, 1);
         return received(channel);
     }
 
-    private static EmbeddedChannel channel() {
-        return new EmbeddedChannel(new CrlfLineDecoder(MAX_LINE_BYTES));
+    private static EmbeddedChannel channel(Optional<IncompleteMessageBudget> budget) {
+        return new EmbeddedChannel(new CrlfLineDecoder(MAX_LINE_BYTES, budget));
     }
 
     private static void send(EmbeddedChannel channel, String bytes, int packetBytes) {
