Give each prepared definition a name of its own

The shapes "q 2" and "q_2" shared a name.

Cause: PooledConnection.preparedName replaced blanks by underscores. The name is all that the database gets with an execution, and the proxy relies on it standing for one definition. A line feed in a shape got into the name as well.

Names are thus unique, bounded in length, and hold neither blanks nor line ends.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
@@ -1,5 +1,9 @@
 package org.hornbeamspread.proxy.session;
 
+import com.google.common.escape.Escaper;
+import com.google.common.hash.Hashing;
+import com.google.common.net.PercentEscaper;
+import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -27,6 +31,11 @@
     /** Prepared statements on one connection before the connection is reset. */
     private static final int MAX_PREPARED_STATEMENTS = 256;
 
+    /** The length of a SHA-256 hash in hexadecimal digits, so that a longer name is never needed. */
+    private static final int MAX_ESCAPED_LENGTH = 64;
+
+    private static final Escaper NAME_ESCAPER = new PercentEscaper("-_.", false);
+
     private final SqlConnection connection;
     private final Reachability reachability;
     private final Clock clock;
@@ -61,9 +70,17 @@
         return values.equals(sessionValues);
     }
 
-    /** The name of the prepared statement for a definition. */
+    /**
+     * The name of the prepared statement for a definition: its text with all but letters, digits and a few others escaped, or the hash of a
+     * text whose name would be too long. No two definitions share a name, and a name holds no blank and no line end.
+     */
     static String preparedName(PreparedDefinition definition) {
-        return (definition.write() ? "w_" : "r_") + definition.text().replace(' ', '_');
+        String kind = definition.write() ? "w" : "r";
+        String text = definition.text();
+        String escaped = text.length() <= MAX_ESCAPED_LENGTH ? NAME_ESCAPER.escape(text) : text;
+        return escaped.length() <= MAX_ESCAPED_LENGTH
+                ? kind + "_" + escaped
+                : kind + "h_" + Hashing.sha256().hashString(text, StandardCharsets.UTF_8);
     }
 
     /** The requests that set a session's values on the connection; empty if they are set. */
