Write log events as ASCII

An event's text, such as the detail of a database's error, can hold U+0085 (one byte of the protocol), at which some viewers and collectors break the line, so that the rest looks like an event of its own.

Change: all but ASCII is escaped in the JSON, which reads back to the same text.

Evidence: three of the eight new cases of JsonEventLogTest.anEventIsOneLineWhateverItsText red before.

--- a/protocol/src/main/java/org/hornbeamspread/runtime/JsonEventLog.java
+++ b/protocol/src/main/java/org/hornbeamspread/runtime/JsonEventLog.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
 import java.io.BufferedOutputStream;
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
@@ -18,7 +19,10 @@
  * that has events. Thread-safe.
  */
 public final class JsonEventLog implements EventLog {
-    private static final JsonFactory JSON = new JsonFactory();
+    /** Escapes all but ASCII, since some viewers break lines at U+0085 and U+2028. */
+    private static final JsonFactory JSON =
+            JsonFactory.builder().enable(JsonWriteFeature.ESCAPE_NON_ASCII).build();
+
     private static final long SECOND_MS = 1_000;
 
     private final Clock monotonicClock;
--- a/protocol/src/test/java/org/hornbeamspread/runtime/JsonEventLogTest.java
+++ b/protocol/src/test/java/org/hornbeamspread/runtime/JsonEventLogTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.TimeUnit;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Events are written as JSON lines, and lines over a limit are dropped and counted instead of blocking the caller. */
 final class JsonEventLogTest {
@@ -40,6 +42,16 @@
                         + "\"cause\":\"java.lang.IllegalStateException: x\"}\n");
     }
 
+    /** Data of callers may hold characters at which a viewer or a log collector breaks the line. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r", "\r\n", "\u000b", "\u000c", "\u0085", "\u2028", "\u2029"})
+    void anEventIsOneLineWhateverItsText(String lineBreak) throws InterruptedException {
+        log(10, 0).record("refused" + lineBreak, "detail" + lineBreak, "one" + lineBreak + "two");
+
+        String line = writtenLines.poll(10, TimeUnit.SECONDS);
+        assertThat(line.stripTrailing().split("\\R|\u000b", -1)).hasLength(1);
+    }
+
     @Test
     void linesOverTheLimitPerSecondAreDroppedAndCounted() {
         JsonEventLog log = log(3, 0);
