Time out renewals and position requests on the dispatcher's clock

Cause: the timeout of a renewal, 400 ms, ran in real time on the network thread, the retry after it on the dispatcher's clock, which the test pauses. A response that came later than 400 ms therefore failed the renewal, and the retry waited for ever. DatabaseMonitor had the same with 500 ms. Connection attempts keep their real timeout: on loopback the network thread handles a connect before a timer that is due.

Change: Futures.startWithTimeout schedules the timeout on the dispatcher and cancels the request. PeerConnection.request has a form without a time limit, whose future drops the request when it is completed.

--- a/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
@@ -34,12 +34,25 @@
         this.handler = handler;
     }
 
+    /** Sends a request as {@link #request(Envelope)} does. Fails with REQUEST_TIMEOUT after a time. */
+    public CompletableFuture<Envelope> request(Envelope request, Duration timeout) {
+        CompletableFuture<Envelope> answer = request(request);
+        ScheduledFuture<?> timeoutTask = channel.eventLoop()
+                .schedule(
+                        () -> answer.completeExceptionally(new FailureException(
+                                FailureType.REQUEST_TIMEOUT,
+                                request.getBodyCase().name())),
+                        timeout.toNanos(),
+                        TimeUnit.NANOSECONDS);
+        return answer.whenComplete((envelope, error) -> timeoutTask.cancel(false));
+    }
+
     /**
-     * Sends a request. Fails with CONNECTION_REFUSED when the connection was closed before anything was sent, with
-     * CONNECTION_LOST when the connection broke later, with REQUEST_TIMEOUT, or with the typed failure in the peer's
-     * answer.
+     * Sends a request without a time limit; the caller completes or cancels the future when it no longer waits, and the answer is
+     * dropped then. Fails with CONNECTION_REFUSED when the connection was closed before anything was sent, with CONNECTION_LOST when the
+     * connection broke later, or with the typed failure in the peer's answer.
      */
-    public CompletableFuture<Envelope> request(Envelope request, Duration timeout) {
+    public CompletableFuture<Envelope> request(Envelope request) {
         if (!isOpen()) {
             return CompletableFuture.failedFuture(
                     new FailureException(FailureType.CONNECTION_REFUSED, "closed before sending"));
@@ -47,14 +60,7 @@
         long id = nextRequestId.getAndIncrement();
         CompletableFuture<Envelope> answer = new CompletableFuture<>();
         pendingRequests.put(id, answer);
-        ScheduledFuture<?> timeoutTask = channel.eventLoop()
-                .schedule(
-                        () -> failRequest(
-                                id,
-                                FailureType.REQUEST_TIMEOUT,
-                                request.getBodyCase().name()),
-                        timeout.toNanos(),
-                        TimeUnit.NANOSECONDS);
+        answer.whenComplete((envelope, error) -> pendingRequests.remove(id));
         channel.writeAndFlush(request.toBuilder()
                         .setProtocolVersion(Envelopes.PROTOCOL_VERSION)
                         .setRequestId(id)
@@ -67,7 +73,7 @@
         if (closed.get()) {
             failRequest(id, FailureType.CONNECTION_LOST, "closed while sending");
         }
-        return answer.whenComplete((envelope, error) -> timeoutTask.cancel(false));
+        return answer;
     }
 
     /** Sends a message that has no answer. The message is dropped when the connection is closed. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/DatabaseMonitor.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/DatabaseMonitor.java
@@ -129,8 +129,8 @@
         }
         requestInFlight = true;
         onBytesTransferred.accept(subscribeRequest().getSerializedSize());
-        connection
-                .request(subscribeRequest(), RESPONSE_TIMEOUT)
+        PeerConnection target = connection;
+        Futures.startWithTimeout(dispatcher, RESPONSE_TIMEOUT, () -> target.request(subscribeRequest()))
                 .whenCompleteAsync(
                         (response, error) -> {
                             requestInFlight = false;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ViewLeaseRenewer.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ViewLeaseRenewer.java
@@ -122,7 +122,7 @@
 
     private void sendRenewal() {
         Instant sentAt = dispatcher.clock().instant();
-        Futures.start(this::requestRenewal)
+        Futures.startWithTimeout(dispatcher, RESPONSE_TIMEOUT, this::requestRenewal)
                 .whenCompleteAsync(
                         (response, error) -> {
                             if (error != null) {
@@ -140,7 +140,7 @@
     private CompletableFuture<Envelope> requestRenewal() {
         Envelope request =
                 Envelope.newBuilder().setRenewView(renewalRequests.get()).build();
-        return connection.request(request, RESPONSE_TIMEOUT);
+        return connection.request(request);
     }
 
     private void onLeaseGranted(Envelope response, Instant sentAt) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/FakeControlLeader.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/FakeControlLeader.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
@@ -28,6 +29,8 @@
     private volatile GroupView group = GroupView.getDefaultInstance();
     private volatile long viewVersion;
     private volatile boolean grantsLeases = true;
+    private volatile boolean responds = true;
+    private final AtomicInteger receivedRenewals = new AtomicInteger();
 
     FakeControlLeader(PeerTransport transport) {
         server = transport
@@ -61,6 +64,16 @@
         grantsLeases = grant;
     }
 
+    /** Sets whether renewals get a response. */
+    void setResponds(boolean respond) {
+        responds = respond;
+    }
+
+    /** The number of renewals received so far, with or without a response. */
+    int receivedRenewals() {
+        return receivedRenewals.get();
+    }
+
     @Override
     public void onOpen(PeerConnection connection) {
         connections.add(connection);
@@ -68,6 +81,10 @@
 
     @Override
     public void onRequest(PeerConnection connection, Envelope request, Consumer<Envelope> answer) {
+        receivedRenewals.incrementAndGet();
+        if (!responds) {
+            return;
+        }
         if (!grantsLeases) {
             answer.accept(Envelopes.failureEnvelope(new FailureException(FailureType.NOT_LEADER, "")));
             return;
--- a/proxy/src/test/java/org/hornbeamspread/proxy/ManualDispatcher.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/ManualDispatcher.java
@@ -2,18 +2,18 @@
 
 import java.time.Clock;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.ConcurrentLinkedDeque;
 import org.hornbeamspread.core.misc.ManualClock;
 
 /**
  * A dispatcher with a manual clock; tasks and timers run only when the test calls {@link #runPending} or
- * {@link #advance}.
+ * {@link #advance}. Tasks may be submitted on any thread.
  */
 final class ManualDispatcher implements Dispatcher {
     private final ManualClock clock = new ManualClock();
     private final TimerQueue timers = new TimerQueue(clock);
-    private final Deque<Runnable> tasks = new ArrayDeque<>();
+    private final Deque<Runnable> tasks = new ConcurrentLinkedDeque<>();
 
     @Override
     public Clock clock() {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/PartitionTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/PartitionTest.java
@@ -24,10 +24,11 @@
     private static final LogPosition LOG_END = new LogPosition(1, 5);
 
     private final ManualClock clock = new ManualClock();
-    private final ProxyHarness harness = new ProxyHarness(clock);
+    private ProxyHarness harness;
 
     @BeforeEach
     void isolateFromControlUntilLeaseExpires() {
+        harness = new ProxyHarness(clock);
         ProxyHarness.awaitReadableAt(harness.first, "b", LOG_END);
         harness.control.setGrantsLeases(false);
         clock.advance(LEASE);
--- a/proxy/src/test/java/org/hornbeamspread/proxy/ProxyServerTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/ProxyServerTest.java
@@ -8,6 +8,7 @@
 import org.hornbeamspread.protocol.schema.ExecuteResponse;
 import org.hornbeamspread.runtime.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,7 +18,12 @@
  * holds them, and against reads that miss the session's own writes.
  */
 final class ProxyServerTest {
-    private final ProxyHarness harness = new ProxyHarness(new MonotonicClock());
+    private ProxyHarness harness;
+
+    @BeforeEach
+    void start() {
+        harness = new ProxyHarness(new MonotonicClock());
+    }
 
     @AfterEach
     void close() {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/TransactionTest.java
@@ -11,6 +11,7 @@
 import org.hornbeamspread.protocol.schema.EndRequest;
 import org.hornbeamspread.protocol.schema.ExecuteResponse;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -23,7 +24,12 @@
  */
 final class TransactionTest {
     private final ManualClock clock = new ManualClock();
-    private final ProxyHarness harness = new ProxyHarness(clock);
+    private ProxyHarness harness;
+
+    @BeforeEach
+    void start() {
+        harness = new ProxyHarness(clock);
+    }
 
     @AfterEach
     void close() {
