Events and metrics of elections and of the connections between control members

The logs could not tell who asked whom for a vote and what was answered, how old the last answer of each member was, whether a connection between members was opened anew, or how long there had been no leader.

Events: control_leaderless (once a second after a second without a leader), control_election (a candidate's round), control_vote (a voter's answer and the rule that refused it), control_peer_connection (opened, failed, closed, with cause and age). The last three are logged once a second when they change and once a minute when they repeat. ConsensusNode gives the reason of a vote as an effect that needs no action. The log of control's own daemon gets the events as text.

Metrics: the time without a leader, and by peer the time since the last answer, connections opened, connections closed by cause and requests without answer.

The detail of NOT_LEADER stays as it is: ControlMembership parses every detail that isn't empty as an address.

--- a/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
@@ -58,7 +58,7 @@
         PublishedState state = new PublishedState(machine, machine::state);
         ConsensusSettings consensus = ConsensusSettings.of(
                 settings.memberId(), settings.clusterId(), settings.members(), settings.dataDirectory());
-        ConsensusService log = new ConsensusService(consensus, state, clock, transport, registry);
+        ConsensusService log = new ConsensusService(consensus, state, clock, transport, registry, new LoggerEventLog());
         Coordinator coordinator = new Coordinator(
                 log,
                 state,
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -54,6 +54,8 @@
     private final MemberDirectory directory;
     private final PeerConnections connections;
     private final ConsensusMetrics metrics;
+    private final ElectionTracker elections;
+    private final StorageTracker storage;
     private final PendingProposals pendingProposals;
     private final Map<Long, Consumer<Envelope>> pendingReplies = new LinkedHashMap<>();
     private final List<Consumer<Leadership>> leadershipListeners = new CopyOnWriteArrayList<>();
@@ -83,7 +85,8 @@
             DiskWriter diskWriter,
             MemberDirectory directory,
             PeerConnections connections,
-            ConsensusMetrics metrics) {
+            ConsensusMetrics metrics,
+            ElectionTracker elections) {
         this.settings = settings;
         this.stateMachine = stateMachine;
         this.clock = clock;
@@ -91,6 +94,8 @@
         this.directory = directory;
         this.connections = connections;
         this.metrics = metrics;
+        this.elections = elections;
+        this.storage = new StorageTracker(clock);
         this.pendingProposals = new PendingProposals(metrics);
         this.node = new ConsensusNode(
                 settings.memberId(),
@@ -140,6 +145,7 @@
         if (task instanceof ConsensusTask.Event event) {
             onEvent(event.event());
         } else if (task instanceof ConsensusTask.Request request) {
+            elections.onRequest(request.message());
             node.step(new ConsensusEvent.Received(request.message(), addPendingReply(request.replyCallback())));
         } else if (task instanceof ConsensusTask.Propose propose) {
             ControlCommand command = withMemberState(withProposalTime(propose.command()));
@@ -162,6 +168,7 @@
         node.step(new ConsensusEvent.Tick());
         flush();
         publishMembers();
+        elections.tick(() -> ElectionTracker.MemberState.of(node, settings, storage));
     }
 
     /** Executes the effects of the steps since the last flush. */
@@ -190,6 +197,10 @@
     }
 
     private void onEvent(ConsensusEvent event) {
+        if (event instanceof ConsensusEvent.Received received) {
+            elections.onResponse(received.message());
+        }
+        storage.onEvent(event);
         node.step(event);
         if (event instanceof ConsensusEvent.Synced) {
             metrics.onSync();
@@ -199,6 +210,9 @@
 
     private void execute(ConsensusEffect effect) {
         if (effect instanceof ConsensusEffect.Send send) {
+            if (send.message() instanceof Message.VoteRequest vote) {
+                elections.onVoteRequested(send.toMemberId(), vote);
+            }
             send(send.toMemberId(), send.message());
         } else if (effect instanceof ConsensusEffect.Reply reply) {
             Consumer<Envelope> replyCallback = pendingReplies.remove(reply.replyId());
@@ -206,6 +220,7 @@
                 replyCallback.accept(MessageCodec.envelope(reply.message(), directory.all()));
             }
         } else if (effect instanceof ConsensusEffect.Persist persist) {
+            storage.onPersist(persist.persistId());
             diskWriter.persist(persist);
         } else if (effect instanceof ConsensusEffect.Apply apply) {
             apply(apply.records());
@@ -213,6 +228,8 @@
             restore(restore.snapshot());
         } else if (effect instanceof ConsensusEffect.LeadershipChanged changed) {
             onLeadershipChanged(changed);
+        } else if (effect instanceof ConsensusEffect.VoteAnswered vote) {
+            elections.onVoteAnswered(vote);
         } else if (effect instanceof ConsensusEffect.MembershipChangeNeeded needed) {
             proposeMembership(needed.membership());
         } else {
@@ -298,6 +315,7 @@
         Leadership next = new Leadership(changed.term(), changed.leaderId(), leads && changed.ready());
         pendingProposals.onLeadershipChange(leads ? changed.term() : 0);
         metrics.onLeadershipChange(changed.term());
+        elections.onLeadership(changed.term(), changed.leaderId());
         LOG.log(Level.INFO, "leadership of the control log: {0}", next);
         publishLeadership(next);
     }
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -22,6 +22,7 @@
 import org.hornbeamspread.core.consensus.ConsensusEvent;
 import org.hornbeamspread.core.consensus.Message;
 import org.hornbeamspread.core.consensus.StoredState;
+import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlCommand;
@@ -59,8 +60,9 @@
             StateMachine stateMachine,
             Clock clock,
             PeerTransport transport,
-            PrometheusRegistry registry) {
-        this(settings, stateMachine, clock, transport, registry, WriteInterceptor.NONE);
+            PrometheusRegistry registry,
+            EventLog events) {
+        this(settings, stateMachine, clock, transport, registry, events, WriteInterceptor.NONE);
     }
 
     /** The same, with an interceptor that is called before each write to disk. */
@@ -70,6 +72,7 @@
             Clock clock,
             PeerTransport transport,
             PrometheusRegistry registry,
+            EventLog events,
             WriteInterceptor interceptor) {
         long incarnation = new SplittableRandom().nextLong(1, Long.MAX_VALUE);
         this.metrics = new ConsensusMetrics(registry);
@@ -81,9 +84,13 @@
             StoredState stored = diskLog.takeStoredState();
             stored.records().forEach(record -> updateDirectory(RecordCodec.wire(record)));
             this.diskWriter = new DiskWriter("disk-" + settings.memberId(), diskLog, directory, this::enqueueDiskEvent);
-            PeerConnections connections = new PeerConnections(transport, settings.electionTimeout(), this::onResponse);
+            PeerConnectionTracker tracker = new PeerConnectionTracker(clock, directory, events, metrics);
+            PeerConnections connections =
+                    new PeerConnections(transport, settings.electionTimeout(), this::onResponse, tracker);
+            ElectionTracker elections =
+                    new ElectionTracker(settings.memberId(), clock, events, metrics, tracker::describe);
             this.loop = new ConsensusLoop(
-                    settings, stateMachine, clock, stored, diskWriter, directory, connections, metrics);
+                    settings, stateMachine, clock, stored, diskWriter, directory, connections, metrics, elections);
         } catch (RuntimeException e) {
             diskLog.close();
             throw e;
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
@@ -96,7 +96,7 @@
         ControlStateMachine stateMachine = new ControlStateMachine();
         PublishedState publishedState = new PublishedState(stateMachine, stateMachine::state);
         ConsensusService log =
-                new ConsensusService(settings.consensusSettings(), publishedState, clock, transport, registry);
+                new ConsensusService(settings.consensusSettings(), publishedState, clock, transport, registry, events);
         RouteControl control = new RouteControl(
                 settings.self().getMemberId(),
                 log,
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -34,6 +34,7 @@
     private final Map<String, PeerServer> servers = new TreeMap<>();
     private final Map<String, AtomicReference<ConsensusService>> handlers = new TreeMap<>();
     private final Map<String, RunningMember> running = new TreeMap<>();
+    private final Map<String, RecordedEvents> events = new TreeMap<>();
 
     LogCluster(Path directory, int size, int snapshotIntervalRecords) {
         this(directory, size, snapshotIntervalRecords, 1 << 20);
@@ -70,7 +71,13 @@
                 true);
         ControlStateMachine state = new ControlStateMachine();
         ConsensusService log = new ConsensusService(
-                settings, state, new MonotonicClock(), transport, new PrometheusRegistry(), interceptor);
+                settings,
+                state,
+                new MonotonicClock(),
+                transport,
+                new PrometheusRegistry(),
+                events(memberId),
+                interceptor);
         running.put(memberId, new RunningMember(log, state));
         handlers.get(memberId).set(log);
         log.start();
@@ -93,6 +100,15 @@
         return running.get(memberId).state();
     }
 
+    /** The events that a member has recorded since its first start. */
+    RecordedEvents events(String memberId) {
+        return events.computeIfAbsent(memberId, id -> new RecordedEvents());
+    }
+
+    List<String> initialMemberIds() {
+        return initialMembers.stream().map(ControlMember::getMemberId).toList();
+    }
+
     Path directory(String memberId) {
         return directory.resolve(memberId);
     }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusEffect.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusEffect.java
@@ -77,6 +77,16 @@
      */
     record LeadershipChanged(long term, Optional<String> leaderId, boolean ready) implements ConsensusEffect {}
 
+    /**
+     * A vote request was decided; an observation, which needs no action. The reply may still wait for a sync.
+     *
+     * @param candidateId the candidate
+     * @param term the requested term
+     * @param preVote whether the request was a pre-vote
+     * @param answer the decision
+     */
+    record VoteAnswered(String candidateId, long term, boolean preVote, VoteAnswer answer) implements ConsensusEffect {}
+
     /** A proposal was appended at an index. Its outcome is decided when a record is applied at that index. */
     record ProposalAppended(long proposalId, long index, long term) implements ConsensusEffect {}
 
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -121,6 +121,11 @@
         return state.term();
     }
 
+    /** The number drawn when this member's disk was empty. */
+    public long incarnation() {
+        return state.incarnation;
+    }
+
     /** The index of the last committed record. */
     public long commitIndex() {
         return state.commitIndex();
@@ -203,34 +208,58 @@
 
     private void onVoteRequest(Message.VoteRequest request, long replyId) {
         if (!bootstrap.mayVote()) {
-            replyToVote(replyId, state.term(), false, request.preVote());
+            replyToVote(replyId, request, VoteAnswer.NOT_ALLOWED_TO_VOTE);
             return;
         }
         boolean leaderActive = state.isEnabled(ConsensusRule.PRE_VOTE) && hasLeaderContact();
         if (request.preVote()) {
-            boolean wouldGrant = !leaderActive && request.term() > state.term() && isLogUpToDate(request);
-            replyToVote(replyId, wouldGrant ? request.term() : state.term(), wouldGrant, true);
+            replyToVote(replyId, request, preVoteAnswer(request, leaderActive));
             return;
         }
         if (leaderActive && request.term() > state.term()) {
-            replyToVote(replyId, state.term(), false, false);
+            replyToVote(replyId, request, VoteAnswer.LEADER_ACTIVE);
             return;
         }
         adoptHigherTerm(request.term());
-        boolean canVote = state.votedFor().isEmpty() || state.votedFor().get().equals(request.candidateId());
-        boolean granted = request.term() == state.term() && canVote && isLogUpToDate(request);
-        if (granted) {
+        VoteAnswer answer = voteAnswer(request);
+        if (answer == VoteAnswer.GRANTED) {
             if (state.votedFor().isEmpty()) {
                 state.setTermAndVote(state.term(), Optional.of(request.candidateId()));
             }
             election.resetTimeout();
         }
-        replyToVote(replyId, state.term(), granted, false);
+        replyToVote(replyId, request, answer);
+    }
+
+    private VoteAnswer preVoteAnswer(Message.VoteRequest request, boolean leaderActive) {
+        if (leaderActive) {
+            return VoteAnswer.LEADER_ACTIVE;
+        }
+        if (request.term() <= state.term()) {
+            return VoteAnswer.OUTDATED_TERM;
+        }
+        return isLogUpToDate(request) ? VoteAnswer.GRANTED : VoteAnswer.LOG_BEHIND;
+    }
+
+    private VoteAnswer voteAnswer(Message.VoteRequest request) {
+        if (request.term() != state.term()) {
+            return VoteAnswer.OUTDATED_TERM;
+        }
+        boolean votedForOther =
+                state.votedFor().filter(id -> !id.equals(request.candidateId())).isPresent();
+        if (votedForOther) {
+            return VoteAnswer.ALREADY_VOTED;
+        }
+        return isLogUpToDate(request) ? VoteAnswer.GRANTED : VoteAnswer.LOG_BEHIND;
     }
 
-    private void replyToVote(long replyId, long term, boolean granted, boolean preVote) {
+    private void replyToVote(long replyId, Message.VoteRequest request, VoteAnswer answer) {
+        boolean granted = answer == VoteAnswer.GRANTED;
+        long term = granted ? request.term() : state.term();
+        state.outbox.emit(
+                new ConsensusEffect.VoteAnswered(request.candidateId(), request.term(), request.preVote(), answer));
         state.outbox.emitWhenSynced(new ConsensusEffect.Reply(
-                replyId, new Message.VoteResponse(term, granted, preVote, state.selfId, state.incarnation)));
+                replyId, new Message.VoteResponse(term, granted, request.preVote(), state.selfId, state.incarnation)));
     }
 
     private boolean hasLeaderContact() {
