A test for control members whose open connections carry nothing

Callers saw no configuration for the whole of a calm span: each control member answered NOT_LEADER with no leader known, while all of them ran and accepted connections.

SilentConnectionsTest runs real members behind relays. A silent direction of a relayed connection drops its bytes and its end and leaves both sides open; connections opened later work. A change must be committed and applied by every member within stable_window_ms, 4 s on the small sites. Red on this code in 5 of 7 cases; the two in which a majority without the leader remains connected pass:

every member applies a change of a leader within PT4S of ALL_LINKS every member applies a change of a leader within PT4S of ALL_REQUESTS every member applies a change of a leader within PT4S of ALL_ANSWERS every member applies a change of a leader within PT4S of CONNECTIONS_OPENED_IN_THE_DARK every member applies a change of a leader within PT4S of ONE_DIRECTION expected to be true Tests run: 7, Failures: 5

PeerConnections keeps a connection until its channel closes, and nothing closes one that is open and silent.

--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.hornbeamspread.control.state.ControlStateMachine;
@@ -25,6 +26,13 @@
     static final Duration TIMEOUT = Duration.ofSeconds(60);
 
     private final PeerTransport transport = new PeerTransport(2);
+
+    /** The address at which a member connects to an announced endpoint. */
+    private final BiFunction<String, Endpoint, Endpoint> links;
+
+    /** The transports on which members connect. */
+    private final Map<String, PeerTransport> memberTransports = new TreeMap<>();
+
     private final Path directory;
     private final int snapshotIntervalRecords;
     private final long budgetBytes;
@@ -40,6 +48,16 @@
     }
 
     LogCluster(Path directory, int size, int snapshotIntervalRecords, long budgetBytes) {
+        this(directory, size, snapshotIntervalRecords, budgetBytes, (from, to) -> to);
+    }
+
+    LogCluster(
+            Path directory,
+            int size,
+            int snapshotIntervalRecords,
+            long budgetBytes,
+            BiFunction<String, Endpoint, Endpoint> links) {
+        this.links = links;
         this.directory = directory;
         this.budgetBytes = budgetBytes;
         this.snapshotIntervalRecords = snapshotIntervalRecords;
@@ -70,7 +88,13 @@
                 true);
         ControlStateMachine state = new ControlStateMachine();
         ConsensusService log = new ConsensusService(
-                settings, state, new MonotonicClock(), transport, new PrometheusRegistry(), interceptor);
+                settings,
+                state,
+                new MonotonicClock(),
+                memberTransports.computeIfAbsent(
+                        memberId, id -> new PeerTransport(1, endpoint -> links.apply(id, endpoint))),
+                new PrometheusRegistry(),
+                interceptor);
         running.put(memberId, new RunningMember(log, state));
         handlers.get(memberId).set(log);
         log.start();
@@ -85,6 +109,10 @@
         running.remove(memberId).log().close();
     }
 
+    List<String> runningMembers() {
+        return List.copyOf(running.keySet());
+    }
+
     ConsensusService log(String memberId) {
         return running.get(memberId).log();
     }
@@ -148,6 +176,7 @@
     public void close() {
         List.copyOf(running.keySet()).forEach(this::stop);
         servers.values().forEach(PeerServer::close);
+        memberTransports.values().forEach(PeerTransport::close);
         transport.close();
     }
 
--- /dev/null
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/SilentConnectionsTest.java
@@ -0,0 +1,156 @@
+package org.hornbeamspread.control.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.SetDepartures;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The members of a log whose connections to each other are open and carry nothing, while new connections work. */
+final class SilentConnectionsTest {
+    /** {@code stable_window_ms} of the small sites: the time after the last disruption in which service may be suspended. */
+    private static final Duration STABLE_WINDOW = Duration.ofSeconds(4);
+
+    private static final long BUDGET_BYTES = 1 << 20;
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
+
+    /** More than an election timeout, so that each member opens connections while they are dead from the start. */
+    private static final Duration DARK_TIME = Duration.ofMillis(1_500);
+
+    private final EventLoopGroup group = new NioEventLoopGroup(2);
+    private final Map<Direction, SilentRelay> relays = new ConcurrentHashMap<>();
+
+    @TempDir
+    Path directory;
+
+    @AfterEach
+    void close() {
+        relays.values().forEach(SilentRelay::close);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    /** No member had a leader any more after a final fault, though all ran and accepted connections (issue 35). */
+    @ParameterizedTest
+    @EnumSource(Silence.class)
+    void aLeaderFollowsAfterAllConnectionsBetweenMembersFallSilent(Silence silence) throws InterruptedException {
+        try (LogCluster cluster = new LogCluster(directory, 3, 1_000, BUDGET_BYTES, this::relayed)) {
+            cluster.startAll();
+            String leader = cluster.awaitLeader();
+            assertThat(awaitProposal(cluster, "before", LogCluster.TIMEOUT)).isTrue();
+            silence.apply(relays, leader);
+            assertWithMessage("every member applies a change of a leader within %s of %s", STABLE_WINDOW, silence)
+                    .that(awaitProposal(cluster, "after", STABLE_WINDOW))
+                    .isTrue();
+        }
+    }
+
+    private Endpoint relayed(String from, Endpoint to) {
+        return relays.computeIfAbsent(new Direction(from, to), direction -> new SilentRelay(group, to))
+                .endpoint();
+    }
+
+    /** Proposes to each leader in turn until every member has applied the change; false if none does in time. */
+    private static boolean awaitProposal(LogCluster cluster, String name, Duration timeout)
+            throws InterruptedException {
+        ControlCommand change = ControlCommand.newBuilder()
+                .setSetDepartures(
+                        SetDepartures.newBuilder().addDatabaseIds(name).setDeparting(true))
+                .build();
+        BooleanSupplier everyMemberApplied = () -> cluster.runningMembers().stream()
+                .allMatch(id ->
+                        cluster.state(id).state().getDepartingDatabaseIdsList().contains(name));
+        long deadlineNs = System.nanoTime() + timeout.toNanos();
+        Map<String, CompletableFuture<?>> pending = new HashMap<>();
+        while (System.nanoTime() < deadlineNs) {
+            for (String id : cluster.runningMembers()) {
+                boolean idle = !pending.containsKey(id) || pending.get(id).isCompletedExceptionally();
+                if (idle && cluster.log(id).leadership().isLeader()) {
+                    pending.put(id, cluster.log(id).propose(change));
+                }
+            }
+            if (everyMemberApplied.getAsBoolean()) {
+                return true;
+            }
+            Thread.sleep(POLL_INTERVAL.toMillis());
+        }
+        return false;
+    }
+
+    /** The connections that a member opens to an endpoint. */
+    private record Direction(String from, Endpoint to) {}
+
+    /** What falls silent. */
+    private enum Silence {
+        ALL_LINKS {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) {
+                relays.values().forEach(relay -> relay.silence(true, true));
+            }
+        },
+        ALL_REQUESTS {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) {
+                relays.values().forEach(relay -> relay.silence(true, false));
+            }
+        },
+        ALL_ANSWERS {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) {
+                relays.values().forEach(relay -> relay.silence(false, true));
+            }
+        },
+        CONNECTIONS_OPENED_IN_THE_DARK {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) throws InterruptedException {
+                relays.values().forEach(relay -> relay.setDark(true));
+                relays.values().forEach(SilentRelay::reset);
+                Thread.sleep(DARK_TIME.toMillis());
+                relays.values().forEach(relay -> relay.setDark(false));
+            }
+        },
+        LINKS_OF_THE_LEADER {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) {
+                relays.forEach((direction, relay) -> {
+                    boolean ofLeader = direction.from().equals(leader);
+                    relay.silence(ofLeader, ofLeader);
+                });
+            }
+        },
+        REQUESTS_OF_THE_LEADER {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) {
+                relays.forEach(
+                        (direction, relay) -> relay.silence(direction.from().equals(leader), false));
+            }
+        },
+        ONE_DIRECTION {
+            @Override
+            void apply(Map<Direction, SilentRelay> relays, String leader) {
+                relays.entrySet().stream()
+                        .filter(entry -> entry.getKey().from().equals(leader))
+                        .findFirst()
+                        .orElseThrow()
+                        .getValue()
+                        .silence(true, false);
+            }
+        };
+
+        abstract void apply(Map<Direction, SilentRelay> relays, String leader) throws InterruptedException;
+    }
+}
