Substitute standbys for silent voters, so that a replaced member stops counting

Callers saw: no configuration any more, for good. A control member was replaced by an empty one at another address, and after catch_up_s another member's disk was lost while all were killed.

Cause: the successor voted beside the dead member, which was dropped only after 6 s of silence; of four voters one was gone and one without its disk. The successor asked to join only after 2.5 s without a leader.

Change: a fixed number of members votes, others are standbys. VoterSelection decides: a standby takes the place of a voter that is silent for 2 s, has lost its disk, or announces its departure on SIGTERM. A voter is demoted only while a standby waits and the responding others are a majority. A substituted voter is held back for 10 s (no flapping). A process with an empty log asks to join at its start and every 500 ms.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -74,6 +74,7 @@
     private volatile long appliedIndex;
     private volatile Leadership leadership;
     private volatile List<ControlMember> members = List.of();
+    private volatile boolean blank;
 
     ConsensusLoop(
             ConsensusSettings settings,
@@ -100,10 +101,12 @@
                 ConsensusParameters.of(
                         settings.electionTimeout().toMillis(),
                         settings.heartbeatInterval().toMillis(),
-                        settings.budgetBytes()),
+                        settings.budgetBytes(),
+                        settings.voterPolicy()),
                 clock,
                 new SplittableRandom());
         this.leadership = new Leadership(stored.term(), Optional.empty(), false);
+        this.blank = node.isBlank();
         restore(stored.snapshot());
     }
 
@@ -115,6 +118,10 @@
         return members;
     }
 
+    boolean isBlank() {
+        return blank;
+    }
+
     long appliedIndex() {
         return appliedIndex;
     }
@@ -372,6 +379,7 @@
 
     private void publishMembers() {
         List<ControlMember> next = DiskLog.withEndpoints(node.membership(), directory.all());
+        blank = node.isBlank();
         boolean changed = !next.equals(publishedMembers);
         publishedMembers = next;
         members = next.stream()
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -142,6 +142,16 @@
         return loop.appliedIndex();
     }
 
+    /** Whether this member has neither voted, nor stored a record, nor taken part in the bootstrap of the log. */
+    public boolean isBlank() {
+        return loop.isBlank();
+    }
+
+    /** Announces that the process of a member ends; a standby takes its vote. Ignored unless this member leads. */
+    public void announceDeparture(String memberId) {
+        thread.offer(new ConsensusTask.Event(new ConsensusEvent.Departure(memberId)));
+    }
+
     /** The members according to the log; on the leader with the replication progress of each member. */
     public List<ControlMember> members() {
         return loop.members();
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.hornbeamspread.core.consensus.VoterPolicy;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlMember;
@@ -22,6 +23,7 @@
  * @param budgetBytes the number of bytes of applied records between two snapshots, and the limit on the bytes of uncommitted
  *     records; keeps the log in memory and on disk small when records are large
  * @param mayBootstrap false for a member that joins a cluster which other members bootstrap or have bootstrapped
+ * @param voterPolicy how many members vote
  */
 public record ConsensusSettings(
         String memberId,
@@ -32,7 +34,8 @@
         Duration heartbeatInterval,
         int snapshotIntervalRecords,
         long budgetBytes,
-        boolean mayBootstrap) {
+        boolean mayBootstrap,
+        VoterPolicy voterPolicy) {
     private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(500);
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
     private static final int SNAPSHOT_INTERVAL_RECORDS = 1_000;
@@ -70,7 +73,8 @@
                 HEARTBEAT_INTERVAL,
                 SNAPSHOT_INTERVAL_RECORDS,
                 budgetBytes(Runtime.getRuntime().maxMemory()),
-                true);
+                true,
+                VoterPolicy.EVERY_MEMBER);
     }
 
     /** The same settings for a member that joins a cluster which other members bootstrap or have bootstrapped. */
@@ -84,6 +88,22 @@
                 heartbeatInterval,
                 snapshotIntervalRecords,
                 budgetBytes,
-                false);
+                false,
+                voterPolicy);
+    }
+
+    /** The same settings with another number of voters. */
+    public ConsensusSettings withVoterPolicy(VoterPolicy policy) {
+        return new ConsensusSettings(
+                memberId,
+                clusterId,
+                members,
+                dataDirectory,
+                electionTimeout,
+                heartbeatInterval,
+                snapshotIntervalRecords,
+                budgetBytes,
+                mayBootstrap,
+                policy);
     }
 }
--- a/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.hornbeamspread.control.CommandResult;
-import org.hornbeamspread.control.ReplicatedLog;
+import org.hornbeamspread.control.consensus.ConsensusService;
+import org.hornbeamspread.core.consensus.VoterPolicy;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
@@ -21,10 +24,14 @@
 import org.hornbeamspread.transport.PeerTransport;
 
 /**
- * Adds and removes control members without an operator. A process that has had no leader for
- * {@link #LEADERLESS_TIMEOUT_MS} sends a join request to the seeds; the leader adds the process as a learner, and makes
- * it a voter once its log has caught up. A silent voter is removed once enough other voters are reachable, so that a
- * machine that has failed permanently does not weaken the majority.
+ * Adds and removes control members without an operator. A process with an empty log that does not bootstrap sends a join
+ * request to the seeds at once, any other process once it has had no leader for {@link #LEADERLESS_TIMEOUT_MS}. The leader
+ * adds the process as a learner. Once its log has caught up, it votes if there are fewer voters than required, or takes the
+ * place of a voter that is silent or departs ({@link VoterPolicy}). A member that stays silent is removed if it has no vote,
+ * or if enough other voters are reachable.
+ *
+ * <p>A join request without an endpoint announces the departure of a member: its process ends soon, and a standby takes its
+ * vote while it still responds.
  */
 public final class ControlMembership implements AutoCloseable {
     /**
@@ -36,12 +43,18 @@
     /** Silence after which a member is removed. Longer than the restart of a machine. */
     private static final long REMOVAL_TIMEOUT_MS = 6_000;
 
+    /** The interval of the join requests of a process with an empty log. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(500);
+
+    /** Two elections; leaves most of the time between SIGTERM and the end of a process to what is open. */
+    private static final Duration HANDOVER_TIMEOUT = Duration.ofMillis(1_500);
+
     private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(1);
 
     private final ControlMember self;
     private final int requiredVoters;
-    private final ReplicatedLog log;
+    private final ConsensusService log;
+    private final boolean mayBootstrap;
     private final Supplier<List<ControlMember>> members;
     private final Supplier<List<Endpoint>> seeds;
     private final PeerTransport transport;
@@ -55,18 +68,21 @@
      * Creates the membership without starting its thread; see {@link #start}.
      *
      * @param requiredVoters the number of voters needed to tolerate the losses that the deployment is designed for
+     * @param mayBootstrap whether this process takes part in the bootstrap of the log
      * @param seeds supplies the peer endpoints of other members from the current settings
      */
     public ControlMembership(
             ControlMember self,
             int requiredVoters,
-            ReplicatedLog log,
+            boolean mayBootstrap,
+            ConsensusService log,
             Supplier<List<ControlMember>> members,
             Supplier<List<Endpoint>> seeds,
             PeerTransport transport,
             EventLog events) {
         this.self = self;
         this.requiredVoters = requiredVoters;
+        this.mayBootstrap = mayBootstrap;
         this.log = log;
         this.members = members;
         this.seeds = seeds;
@@ -77,16 +93,23 @@
 
     /** Starts the thread. */
     public ControlMembership start() {
+        log.onMembersChange(current ->
+                events.record("control_voters", "voters", ids(current, true), "standbys", ids(current, false)));
         thread.start();
         return this;
     }
 
-    /** Adds a member as a learner. Fails with NOT_LEADER on a member that is not the leader. */
+    /** Adds a member as a learner, or announces its departure. Fails with NOT_LEADER on a member that is not the leader. */
     public CompletableFuture<Void> join(JoinControl request) {
         if (!log.leadership().isLeader()) {
             return CompletableFuture.failedFuture(new FailureException(
                     FailureType.NOT_LEADER, log.leadership().leaderId().orElse("")));
         }
+        if (!request.hasPeer()) {
+            events.record("control_member_departs", "member", request.getMemberId());
+            log.announceDeparture(request.getMemberId());
+            return CompletableFuture.completedFuture(null);
+        }
         List<ControlMember> currentMembers = members.get();
         if (currentMembers.stream().anyMatch(member -> member.getMemberId().equals(request.getMemberId()))) {
             return CompletableFuture.completedFuture(null);
@@ -101,11 +124,64 @@
         return proposeMembers(newMembers);
     }
 
+    /**
+     * Announces the departure of this process to the leader. Completes once this member has no vote, or after
+     * {@link #HANDOVER_TIMEOUT}; at once when no other member could take its vote. Called at most once, before
+     * {@link #close}.
+     */
+    public CompletableFuture<Void> handOverVote() {
+        CompletableFuture<Void> handedOver = new CompletableFuture<>();
+        boolean standbyExists = members.get().stream().anyMatch(member -> !member.getVoting());
+        if (!isSelfVoter() || !standbyExists) {
+            handedOver.complete(null);
+            return handedOver;
+        }
+        Runnable check = () -> {
+            if (!isSelfVoter() && !log.leadership().isLeader()) {
+                handedOver.complete(null);
+            }
+        };
+        log.onMembersChange(changed -> check.run());
+        log.onLeadershipChange(changed -> check.run());
+        JoinControl departure =
+                JoinControl.newBuilder().setMemberId(self.getMemberId()).build();
+        if (log.leadership().isLeader()) {
+            join(departure);
+        } else {
+            leaderEndpoint()
+                    .ifPresent(leader -> sendRequest(
+                            leader,
+                            Envelope.newBuilder().setJoinControl(departure).build(),
+                            "control_departure_announced",
+                            false));
+        }
+        return handedOver.completeOnTimeout(null, HANDOVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void close() {
         thread.close();
     }
 
+    private static String ids(List<ControlMember> members, boolean voting) {
+        return members.stream()
+                .filter(member -> member.getVoting() == voting)
+                .map(ControlMember::getMemberId)
+                .collect(Collectors.joining(" "));
+    }
+
+    private boolean isSelfVoter() {
+        return members.get().stream()
+                .anyMatch(member -> member.getMemberId().equals(self.getMemberId()) && member.getVoting());
+    }
+
+    private Optional<Endpoint> leaderEndpoint() {
+        return members.get().stream()
+                .filter(member -> log.leadership().leaderId().equals(Optional.of(member.getMemberId())))
+                .map(ControlMember::getPeer)
+                .findFirst();
+    }
+
     private CompletableFuture<Void> proposeMembers(List<ControlMember> newMembers) {
         return log.propose(ControlCommand.newBuilder()
                         .setChangeMembers(ChangeMembers.newBuilder().addAllMembers(newMembers))
@@ -122,11 +198,16 @@
             removeLostMember();
         } else if (log.leadership().leaderId().isPresent()) {
             leaderlessTicks = 0;
-        } else if (++leaderlessTicks * TICK_INTERVAL.toMillis() >= LEADERLESS_TIMEOUT_MS) {
+        } else if (isJoinDue(++leaderlessTicks * TICK_INTERVAL.toMillis())) {
             requestJoin();
         }
     }
 
+    /** A process with an empty log has no leader that an election could return to it. */
+    private boolean isJoinDue(long leaderlessMs) {
+        return leaderlessMs >= LEADERLESS_TIMEOUT_MS || (!mayBootstrap && log.isBlank());
+    }
+
     private void removeLostMember() {
         List<ControlMember> currentMembers = members.get();
         Optional<ControlMember> lost = currentMembers.stream()
@@ -167,10 +248,10 @@
                         .setPeer(self.getPeer())
                         .setHttp(self.getHttp()))
                 .build();
-        sendJoinRequest(seed, request, true);
+        sendRequest(seed, request, "control_join_asked", true);
     }
 
-    private void sendJoinRequest(Endpoint endpoint, Envelope request, boolean followRedirect) {
+    private void sendRequest(Endpoint endpoint, Envelope request, String event, boolean followRedirect) {
         transport
                 .connect(endpoint, REQUEST_TIMEOUT, (peer, unexpectedRequest, replyCallback) -> peer.close())
                 .thenCompose(
@@ -178,7 +259,7 @@
                 .whenComplete((response, error) -> {
                     FailureException failure = error == null ? null : FailureException.of(error);
                     events.record(
-                            "control_join_asked",
+                            event,
                             "seed",
                             endpoint.getHost(),
                             "outcome",
@@ -187,8 +268,11 @@
                             && failure.type() == FailureType.NOT_LEADER
                             && !failure.detail().isEmpty();
                     if (redirected && followRedirect) {
-                        sendJoinRequest(
-                                org.hornbeamspread.transport.AddressTranslator.parse(failure.detail()), request, false);
+                        sendRequest(
+                                org.hornbeamspread.transport.AddressTranslator.parse(failure.detail()),
+                                request,
+                                event,
+                                false);
                     }
                 });
     }
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
@@ -10,6 +10,7 @@
 import org.hornbeamspread.control.consensus.ConsensusSettings;
 import org.hornbeamspread.control.operations.PublishedState;
 import org.hornbeamspread.control.state.ControlStateMachine;
+import org.hornbeamspread.core.consensus.VoterPolicy;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.Endpoint;
@@ -77,7 +78,8 @@
             if (!isInitialMember) {
                 members.add(self);
             }
-            ConsensusSettings settings = ConsensusSettings.of(self.getMemberId(), clusterId, members, dataDirectory);
+            ConsensusSettings settings = ConsensusSettings.of(self.getMemberId(), clusterId, members, dataDirectory)
+                    .withVoterPolicy(VoterPolicy.required(requiredVoters));
             return mayBootstrap && isInitialMember ? settings : settings.joining();
         }
     }
@@ -95,8 +97,8 @@
         RouteMetrics metrics = new RouteMetrics(registry);
         ControlStateMachine stateMachine = new ControlStateMachine();
         PublishedState publishedState = new PublishedState(stateMachine, stateMachine::state);
-        ConsensusService log =
-                new ConsensusService(settings.consensusSettings(), publishedState, clock, transport, registry);
+        ConsensusSettings consensusSettings = settings.consensusSettings();
+        ConsensusService log = new ConsensusService(consensusSettings, publishedState, clock, transport, registry);
         RouteControl control = new RouteControl(
                 settings.self().getMemberId(),
                 log,
@@ -109,7 +111,14 @@
                 events,
                 metrics);
         ControlMembership membership = new ControlMembership(
-                settings.self(), settings.requiredVoters(), log, log::members, settings.seeds(), transport, events);
+                settings.self(),
+                settings.requiredVoters(),
+                consensusSettings.mayBootstrap(),
+                log,
+                log::members,
+                settings.seeds(),
+                transport,
+                events);
         ForwardingRouteOperations operations =
                 new ForwardingRouteOperations(control, membership, transport, log::members);
         PeerServer server = transport
@@ -132,6 +141,19 @@
         return metrics;
     }
 
+    /** The members of the log; on the leader with the replication progress of each member. */
+    public List<ControlMember> members() {
+        return log.members();
+    }
+
+    /**
+     * Hands this member's vote over to a standby, if there is one, before the process ends. Blocks for at most 1.5 s, and
+     * not at all without a standby.
+     */
+    public void handOverVote() {
+        membership.handOverVote().join();
+    }
+
     @Override
     public void close() {
         server.close();
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -67,7 +67,8 @@
                 defaults.heartbeatInterval(),
                 snapshotIntervalRecords,
                 budgetBytes,
-                true);
+                true,
+                defaults.voterPolicy());
         ControlStateMachine state = new ControlStateMachine();
         ConsensusService log = new ConsensusService(
                 settings, state, new MonotonicClock(), transport, new PrometheusRegistry(), interceptor);
--- a/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
@@ -4,10 +4,14 @@
 
 import com.google.protobuf.ByteString;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -15,6 +19,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.hornbeamspread.core.membership.Address;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
@@ -49,6 +54,9 @@
 final class RouteDaemonTest {
     private static final Duration TEST_TIMEOUT = Duration.ofSeconds(60);
     private static final Duration ATTEMPT_TIMEOUT = Duration.ofSeconds(2);
+    /** A replaced member stops counting this long after its successor starts. */
+    private static final Duration CATCH_UP_TIME = Duration.ofSeconds(4);
+
     private static final Executor RETRY_EXECUTOR = CompletableFuture.delayedExecutor(50, TimeUnit.MILLISECONDS);
 
     @TempDir
@@ -134,6 +142,61 @@
         assertThat(readRoutes("c1").getVersion()).isEqualTo(9);
     }
 
+    /** Four voters, of which one is gone and one loses its disk, would have no leader for good. */
+    @Test
+    void configurationIsReadAfterTheLossOfADiskFollowsAReplacement() {
+        replaceRoutes("c1", configurationDocument(7, "seven"));
+        daemons.remove("c3").close();
+        delay(Duration.ofMillis(300));
+        ControlMember successor = member("c4");
+        start(successor, members, false);
+        delay(CATCH_UP_TIME);
+        daemons.values().forEach(RouteDaemon::close);
+        deleteDirectory(directory.resolve("c1"));
+        start(members.get(0), members, false);
+        start(members.get(1), members, false);
+        start(successor, members, false);
+
+        assertThat(readRoutes("c2").getSource().toStringUtf8()).isEqualTo("seven");
+    }
+
+    @Test
+    void aDepartingMemberHandsItsVoteOverToAStandby() {
+        replaceRoutes("c1", configurationDocument(7, "seven"));
+        start(member("c4"), members, false);
+        awaitMembers("c3", List.of("c1", "c2", "c3"), 4);
+        daemons.get("c3").handOverVote();
+        awaitMembers("c1", List.of("c1", "c2", "c4"), 4);
+    }
+
+    private void awaitMembers(String id, List<String> voterIds, int memberCount) {
+        retryUntilSuccess(() -> {
+            List<ControlMember> current = daemons.get(id).members();
+            List<String> voters = current.stream()
+                    .filter(ControlMember::getVoting)
+                    .map(ControlMember::getMemberId)
+                    .toList();
+            return voters.equals(voterIds) && current.size() == memberCount
+                    ? CompletableFuture.completedFuture(voters)
+                    : CompletableFuture.failedFuture(new FailureException(FailureType.NO_VIEW, voters.toString()));
+        });
+    }
+
+    private static void delay(Duration time) {
+        CompletableFuture.runAsync(() -> {}, CompletableFuture.delayedExecutor(time.toMillis(), TimeUnit.MILLISECONDS))
+                .join();
+    }
+
+    private static void deleteDirectory(Path path) {
+        try (Stream<Path> files = Files.walk(path)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** Fails on any other failure type, as returned while there is no leader, so that the call is retried. */
     private static FailureType requireInvalidConfiguration(FailureType type) {
         if (type != FailureType.INVALID_CONFIGURATION) {
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusEvent.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusEvent.java
@@ -40,6 +40,14 @@
      */
     record Synced(long persistId) implements ConsensusEvent {}
 
+    /**
+     * A member announces that its process ends, so that a standby takes its vote while it still responds. Ignored unless
+     * this member leads.
+     *
+     * @param memberId the departing member, possibly this one
+     */
+    record Departure(String memberId) implements ConsensusEvent {}
+
     /**
      * The disk accepts no writes, for now or permanently.
      *
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -97,6 +97,8 @@
             propose(proposal);
         } else if (event instanceof ConsensusEvent.Read read) {
             read(read.readId());
+        } else if (event instanceof ConsensusEvent.Departure departure) {
+            leaderRole.ifPresent(leader -> leader.onDeparture(departure.memberId()));
         } else if (event instanceof ConsensusEvent.Synced synced) {
             onSynced(synced.persistId());
         } else if (event instanceof ConsensusEvent.StorageStalled stall) {
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusParameters.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusParameters.java
@@ -12,6 +12,7 @@
  *     be larger
  * @param retainedRecords how many records before a snapshot are retained at most, for followers that lag slightly
  * @param retainedBytes the limit on the bytes of these records
+ * @param voterPolicy how many members vote
  */
 public record ConsensusParameters(
         long electionTimeoutMs,
@@ -20,7 +21,8 @@
         int maxUncommittedRecords,
         long maxUncommittedBytes,
         int retainedRecords,
-        long retainedBytes) {
+        long retainedBytes,
+        VoterPolicy voterPolicy) {
     private static final int BATCH_BYTES = 256 << 10;
     private static final int MAX_UNCOMMITTED_RECORDS = 8_192;
     private static final int RETAINED_RECORDS = 256;
@@ -48,7 +50,8 @@
      *
      * @param budgetBytes the limit on the bytes of uncommitted records, and of four times the records before a snapshot
      */
-    public static ConsensusParameters of(long electionTimeoutMs, long heartbeatMs, long budgetBytes) {
+    public static ConsensusParameters of(
+            long electionTimeoutMs, long heartbeatMs, long budgetBytes, VoterPolicy voterPolicy) {
         return new ConsensusParameters(
                 electionTimeoutMs,
                 heartbeatMs,
@@ -56,6 +59,7 @@
                 MAX_UNCOMMITTED_RECORDS,
                 budgetBytes,
                 RETAINED_RECORDS,
-                budgetBytes / RETAINED_BUDGET_DIVISOR);
+                budgetBytes / RETAINED_BUDGET_DIVISOR,
+                voterPolicy);
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/LeaderRole.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/LeaderRole.java
@@ -20,7 +20,7 @@
  * term prove that no later leader had committed a record before the read.
  *
  * <p>A voter that responds with a new incarnation has lost its disk and its votes. The leader first records it as
- * non-voting, and as voting again once it has synced all committed records. Each step changes one voter, so that any
+ * non-voting. Which members vote is decided by {@link VoterSelection}. Each step changes one voter, so that any
  * majorities before and after the step share a voter.
  */
 final class LeaderRole {
@@ -38,6 +38,9 @@
     private long nextHeartbeatMs;
     private long nextMembershipChangeMs;
 
+    /** Until when the departure of this member applies. */
+    private long selfDepartingUntilMs = Long.MIN_VALUE;
+
     LeaderRole(NodeState state) {
         this.state = state;
         updatePeers();
@@ -60,12 +63,7 @@
             nextHeartbeatMs = nowMs + state.parameters.heartbeatMs();
             progress.values().forEach(peer -> replicateTo(peer, true));
         }
-        if (nowMs >= nextMembershipChangeMs) {
-            nextMembershipChange(nowMs).ifPresent(members -> {
-                nextMembershipChangeMs = nowMs + state.parameters.electionTimeoutMs();
-                state.outbox.emit(new ConsensusEffect.MembershipChangeNeeded(members));
-            });
-        }
+        changeMembership(nowMs);
         return true;
     }
 
@@ -96,6 +94,18 @@
         pendingReads.clear();
     }
 
+    /** A member announces that its process ends. */
+    void onDeparture(String memberId) {
+        long untilMs = state.nowMs() + state.parameters.voterPolicy().departureMs();
+        if (memberId.equals(state.selfId)) {
+            selfDepartingUntilMs = untilMs;
+        } else if (progress.containsKey(memberId)) {
+            progress.get(memberId).departingUntilMs = untilMs;
+        }
+        nextMembershipChangeMs = state.nowMs();
+        changeMembership(state.nowMs());
+    }
+
     void onAppendResponse(Message.AppendResponse response) {
         Progress peer = recordContact(response.memberId(), response.incarnation());
         if (peer == null) {
@@ -119,7 +129,12 @@
 
     /** Commits the records that a majority has synced, confirms reads, and sends pending records. */
     void flush() {
+        boolean changesMembership = !isMembershipCommitted();
         commit();
+        if (changesMembership && isMembershipCommitted()) {
+            nextMembershipChangeMs = state.nowMs();
+            changeMembership(state.nowMs());
+        }
         boolean newRound = !pendingReads.isEmpty() && pendingReads.peekLast().round() > round;
         if (newRound) {
             round++;
@@ -189,7 +204,7 @@
         if (!next.isWellFormed() || state.log.membership().countVoterChanges(next) > 1) {
             return Optional.of(FailureType.INVALID_REQUEST);
         }
-        boolean previousChangeCommitted = isReady() && state.log.membershipIndex() <= state.commitIndex();
+        boolean previousChangeCommitted = isReady() && isMembershipCommitted();
         boolean caughtUp = next.voters().stream()
                 .filter(voter -> !state.log.membership().voters().contains(voter))
                 .allMatch(voter -> countedMatchIndex(voter) >= state.commitIndex());
@@ -294,24 +309,46 @@
                         state.term(), state.selfId, previousIndex, previousTerm, state.commitIndex(), records, round)));
     }
 
-    /** The next single-member change towards a membership in which every responding member votes. */
-    private Optional<Membership> nextMembershipChange(long nowMs) {
-        if (!isReady() || state.log.membershipIndex() > state.commitIndex()) {
-            return Optional.empty();
-        }
+    /** Requests the next change of one voter, once the previous one is committed. */
+    private void changeMembership(long nowMs) {
         Membership current = state.log.membership();
-        for (Progress peer : progress.values()) {
-            Member member = current.find(peer.memberId).orElseThrow();
-            boolean responsive =
-                    peer.incarnation != 0 && nowMs - peer.lastContactMs <= state.parameters.electionTimeoutMs();
-            if (responsive && member.voting() && member.incarnation() != peer.incarnation) {
-                return Optional.of(current.withMember(new Member(peer.memberId, peer.incarnation, false)));
-            }
-            if (responsive && !member.voting() && peer.matchIndex >= state.commitIndex()) {
-                return Optional.of(current.withMember(new Member(peer.memberId, peer.incarnation, true)));
-            }
+        boolean isSelfVoter = current.find(state.selfId).filter(Member::voting).isPresent();
+        if (nowMs < nextMembershipChangeMs || !isReady() || !isMembershipCommitted() || !isSelfVoter) {
+            return;
         }
-        return state.log.membershipIndex() == 0 ? Optional.of(current) : Optional.empty();
+        List<VoterSelection.MemberStatus> statuses =
+                current.members().stream().map(member -> status(member, nowMs)).toList();
+        VoterSelection selection = new VoterSelection(
+                state.parameters.voterPolicy(), current, statuses, state.parameters.electionTimeoutMs());
+        Optional<VoterSelection.Change> change = selection.nextChange();
+        change.filter(VoterSelection.Change::substitutesSilent)
+                .ifPresent(substitution -> progress.get(substitution.memberId()).heldBackUntilMs =
+                        nowMs + state.parameters.voterPolicy().substitutionHoldMs());
+        // The membership of the bootstrap is recorded too, so that later members receive it with the log.
+        Optional<Membership> unrecorded = state.log.membershipIndex() == 0 ? Optional.of(current) : Optional.empty();
+        change.map(VoterSelection.Change::membership).or(() -> unrecorded).ifPresent(members -> {
+            nextMembershipChangeMs = nowMs + state.parameters.heartbeatMs();
+            state.outbox.emit(new ConsensusEffect.MembershipChangeNeeded(members));
+        });
+    }
+
+    private VoterSelection.MemberStatus status(Member member, long nowMs) {
+        Progress peer = progress.get(member.memberId());
+        if (peer == null) {
+            return new VoterSelection.MemberStatus(
+                    member, member.incarnation(), 0, true, nowMs < selfDepartingUntilMs, false);
+        }
+        return new VoterSelection.MemberStatus(
+                member,
+                peer.incarnation,
+                nowMs - peer.lastContactMs,
+                peer.matchIndex >= state.commitIndex(),
+                nowMs < peer.departingUntilMs,
+                nowMs < peer.heldBackUntilMs);
+    }
+
+    private boolean isMembershipCommitted() {
+        return state.log.membershipIndex() <= state.commitIndex();
     }
 
     /** A read that waits for a round of appends and for a commit index. */
--- a/core/src/main/java/org/hornbeamspread/core/consensus/Progress.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/Progress.java
@@ -26,6 +26,12 @@
 
     boolean snapshotInFlight;
 
+    /** Until when the member does not substitute for a silent voter, since it was substituted itself. */
+    long heldBackUntilMs = Long.MIN_VALUE;
+
+    /** Until when the departure that the member announced applies. */
+    long departingUntilMs = Long.MIN_VALUE;
+
     Progress(String memberId, long nextIndex, long nowMs) {
         this.memberId = memberId;
         this.nextIndex = nextIndex;
--- a/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusInterleavingTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/ConsensusInterleavingTest.java
@@ -51,6 +51,42 @@
         assertWithMessage("committed records").that(committed).isGreaterThan(5L * seeds);
     }
 
+    /** Two standbys take the places of silent voters and of voters that lost their disks. */
+    @ParameterizedTest
+    @CsvSource({"3, 6001, 60, 4000", "5, 7001, 30, 4000"})
+    void noHistoryWithSubstitutionsViolatesAnInvariant(int voters, long firstSeed, int seeds, int steps) {
+        int changes = 0;
+        int disksLost = 0;
+        for (long seed = firstSeed; seed < firstSeed + seeds; seed++) {
+            ConsensusParameters parameters = new ConsensusParameters(
+                    100, 20, 1 << 16, 64, 1 << 20, 4, 1 << 20, new VoterPolicy(voters, 200, 400, 100));
+            LogHarness harness = new LogHarness(voters, seed, EnumSet.allOf(ConsensusRule.class), parameters);
+            try {
+                harness.awaitBootstrap();
+                addStandby(harness, "c" + (voters + 1));
+                addStandby(harness, "c" + (voters + 2));
+                new RandomDriver(harness, false).run(steps);
+            } catch (LogChecker.Violation | FailureException e) {
+                throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+            }
+            changes += harness.checker.membershipChanges();
+            disksLost += harness.lostDiskCount;
+        }
+        System.out.printf("voters %d: %d membership changes, %d disks lost%n", voters, changes, disksLost);
+        assertWithMessage("membership changes").that(changes).isGreaterThan(5 * seeds);
+    }
+
+    private static void addStandby(LogHarness harness, String id) {
+        harness.addHost(id);
+        harness.runUntil(() -> {
+            harness.leader()
+                    .filter(leader -> leader.node.membership().find(id).isEmpty())
+                    .ifPresent(leader ->
+                            leader.propose(Optional.of(leader.node.membership().withMember(new Member(id, 0, false)))));
+            return harness.checker.committedMembership().orElseThrow().find(id).isPresent();
+        });
+    }
+
     @ParameterizedTest
     @CsvSource({
         "SYNC_BEFORE_ANSWER, false",
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogChecker.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogChecker.java
@@ -16,6 +16,7 @@
 
     private long lastCommitted;
     private Optional<Membership> committedMembership = Optional.empty();
+    private int membershipChanges;
 
     /** The last index that any member applied; every read requested later must include it. */
     long lastCommitted() {
@@ -26,6 +27,11 @@
         return committedMembership;
     }
 
+    /** The number of committed records that change the membership. */
+    int membershipChanges() {
+        return membershipChanges;
+    }
+
     void onLeader(long term, String leader) {
         String first = leaderByTerm.putIfAbsent(term, leader);
         require(first == null || first.equals(leader), "term " + term + " has leaders " + first + " and " + leader);
@@ -40,6 +46,7 @@
         if (record.index() > lastCommitted) {
             require(record.index() == lastCommitted + 1, "index " + record.index() + " applied before earlier indexes");
             lastCommitted = record.index();
+            membershipChanges += record.membership().isPresent() ? 1 : 0;
             committedMembership = record.membership().or(() -> committedMembership);
         }
     }
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
@@ -36,12 +36,14 @@
     int lostDiskCount;
 
     LogHarness(int members, long seed, Set<ConsensusRule> rules) {
+        // Odd seeds send one record per message, so that histories can diverge between any two records.
+        this(members, seed, rules, parameters(seed % 2 == 1 ? 1 : 1 << 16));
+    }
+
+    LogHarness(int members, long seed, Set<ConsensusRule> rules, ConsensusParameters parameters) {
         this.random = new SplittableRandom(seed);
         this.rules = rules;
-        // Odd seeds send one record per message, so that histories can diverge between any two records.
-        int batchBytes = seed % 2 == 1 ? 1 : 1 << 16;
-        this.parameters =
-                new ConsensusParameters(ELECTION_TIMEOUT_MS, HEARTBEAT_MS, batchBytes, 64, 1 << 20, 4, 1 << 20);
+        this.parameters = parameters;
         this.initialIds = new ArrayList<>();
         for (int i = 1; i <= members; i++) {
             initialIds.add("c" + i);
@@ -50,6 +52,11 @@
         hosts.values().forEach(Host::start);
     }
 
+    private static ConsensusParameters parameters(int batchBytes) {
+        return new ConsensusParameters(
+                ELECTION_TIMEOUT_MS, HEARTBEAT_MS, batchBytes, 64, 1 << 20, 4, 1 << 20, VoterPolicy.EVERY_MEMBER);
+    }
+
     /** Adds and starts a member that is not in the membership yet. */
     Host addHost(String id) {
         Host added = new Host(id);
@@ -121,7 +128,18 @@
         if (!rules.contains(ConsensusRule.COUNT_INCARNATION)) {
             return hosts.values().stream().allMatch(host -> host.applied == checker.lastCommitted());
         }
-        return isEveryMemberVoter();
+        int requiredVoters = parameters.voterPolicy().requiredVoters();
+        return requiredVoters <= initialIds.size() ? isEveryVoterCurrent(requiredVoters) : isEveryMemberVoter();
+    }
+
+    /** Whether the committed membership has the required number of voters, each with its current incarnation. */
+    boolean isEveryVoterCurrent(int requiredVoters) {
+        return checker.committedMembership()
+                .map(Membership::voters)
+                .filter(voters -> voters.size() == requiredVoters)
+                .filter(voters -> voters.stream()
+                        .allMatch(voter -> hosts.get(voter.memberId()).disk.incarnation() == voter.incarnation()))
+                .isPresent();
     }
 
     /** Whether the committed membership has the current incarnation of every member as a voter. */
@@ -212,6 +230,10 @@
             step(new ConsensusEvent.Read(readId));
         }
 
+        void announceDeparture(String memberId) {
+            step(new ConsensusEvent.Departure(memberId));
+        }
+
         void snapshot() {
             if (up && applied > 0) {
                 step(new ConsensusEvent.SnapshotTaken(applied, stateBytes()));
@@ -239,6 +261,7 @@
         }
 
         private void execute(List<ConsensusEffect> effects) {
+            List<Membership> neededChanges = new ArrayList<>();
             for (ConsensusEffect effect : effects) {
                 if (effect instanceof ConsensusEffect.Send send) {
                     packetsInFlight.add(new Packet(id, send.toMemberId(), send.message()));
@@ -256,11 +279,13 @@
                     confirmedReadCount++;
                     checker.onRead(applied, committedAtReadStart.get(confirmed.readId()));
                 } else if (effect instanceof ConsensusEffect.MembershipChangeNeeded needed) {
-                    propose(Optional.of(needed.membership()));
+                    neededChanges.add(needed.membership());
                 } else if (effect instanceof ConsensusEffect.ProposalRefused proposal) {
                     refused.add(proposal.proposalId());
                 }
             }
+            // Proposed after the other effects, since the effects of the proposal follow them.
+            neededChanges.forEach(membership -> propose(Optional.of(membership)));
         }
 
         private void apply(LogRecord record) {
