--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -76,6 +76,7 @@
     private volatile long appliedIndex;
     private volatile Leadership leadership;
     private volatile List<ControlMember> members = List.of();
+    private volatile boolean blank;
 
     ConsensusLoop(
             ConsensusSettings settings,
@@ -105,10 +106,12 @@
                 ConsensusParameters.of(
                         settings.electionTimeout().toMillis(),
                         settings.heartbeatInterval().toMillis(),
-                        settings.budgetBytes()),
+                        settings.budgetBytes(),
+                        settings.voterPolicy()),
                 clock,
                 new SplittableRandom());
         this.leadership = new Leadership(stored.term(), Optional.empty(), false);
+        this.blank = node.isBlank();
         restore(stored.snapshot());
     }
 
@@ -120,6 +123,10 @@
         return members;
     }
 
+    boolean isBlank() {
+        return blank;
+    }
+
     long appliedIndex() {
         return appliedIndex;
     }
@@ -390,6 +397,7 @@
 
     private void publishMembers() {
         List<ControlMember> next = DiskLog.withEndpoints(node.membership(), directory.all());
+        blank = node.isBlank();
         boolean changed = !next.equals(publishedMembers);
         publishedMembers = next;
         members = next.stream()
