Free a database connection whose client left during a statement that gets no answer

What callers saw: after open connections to a database went silent, fewer and fewer connections of a proxy were usable, until the database's own limit or a restart; control could replace a healthy primary, since the age of the oldest pending write grew for good.

Cause: a client's disconnect cancelled the statement's timer, the only thing that ends a statement on a connection that carries nothing. The connection stayed leased, its concurrency permit taken and its write in the map of pending writes, which is reported to control. TCP keep-alive does not help: its probes don't run while the statement is unacknowledged, and a relay that drops the data responds to them.

Fix: the timer runs on after the disconnect, and only discards the connection then; nothing is reported to the client that left.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -56,9 +56,9 @@
     @Override
     public void onTimeout() {
         timedOut = true;
-        if (lease.isPresent() && sent) {
+        if (lease.isPresent() && (sent || completed)) {
             lease.get().discard();
-        } else {
+        } else if (!completed) {
             lease.ifPresent(ConnectionLease::discard);
             connectionRequest.cancel();
             onRefused(RefusalReason.NOT_SENT_IN_TIME);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
@@ -94,7 +94,7 @@
             return;
         }
         closed = true;
-        cancelStatementTimer();
+        // The timer of a statement that was sent still runs: it frees a database connection that does not respond.
         currentOperation.ifPresent(SessionOperation::onClientDisconnected);
         transaction.ifPresent(SessionTransaction::rollBack);
         transaction = Optional.empty();
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionOperation.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionOperation.java
@@ -5,7 +5,7 @@
     /** Starts the operation, whose result goes to {@link ClientSession#complete}. */
     void start();
 
-    /** Ends the operation after the route's statement timeout. */
+    /** Ends the operation after the route's statement timeout, also after the client has disconnected. */
     void onTimeout();
 
     /** Cancels the operation after the client has disconnected. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -126,6 +126,9 @@
 
         @Override
         public void onTimeout() {
+            if (completed) {
+                return;
+            }
             timedOut = true;
             if (lease.isPresent() && sent) {
                 lease.get().discard();
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
@@ -113,6 +113,16 @@
         return result;
     }
 
+    /** The open connections carry nothing from now on, without a reset; new ones work. */
+    void silenceOpenConnections() {
+        openConnections.forEach(connection -> connection.hung = true);
+    }
+
+    /** How many silent connections the proxy has not closed yet. */
+    long silentConnectionCount() {
+        return openConnections.stream().filter(connection -> connection.hung).count();
+    }
+
     void resetConnections() {
         List.copyOf(openConnections).forEach(Connection::close);
     }
