Detect silent database connections one by one, and validate an idle one before a write

What callers saw, after open connections to a database went silent while new ones worked: a write on a connection that had been idle ended IN_DOUBT after its statement timeout; a read ended TIMEOUT; each idle connection cost one statement; and a position probe on such a connection declared a primary unreachable that had answered on another connection 200 ms before.

Cause: silence was judged for the instance as a whole. Any answer on a new connection restarted the clock, so a silent connection beside a working one was found by nothing but each statement's own timeout, and its idle neighbours stayed in the pool.

Fix, in the pool, for all users of its connections: - Each connection has its own SilenceTimer, the one that Reachability used for the instance. Past 400 ms or ten service times, whichever is longer, repeatable statements leave it; a statement that waits in the queue of a slow database is not taken for a silent connection. - A connection found silent takes along the idle ones that have not responded since. - A statement whose connection was lost is repeated only on a connection that has responded since the statement arrived, or on a new one. - A write on a connection without a response for 1 s is preceded by BEGIN READ and ROLLBACK, with 100 ms for the answer. Neither occupies a slot. Until then nothing was sent, so the write is repeated on a new connection. Reads of primary routes and transactions begin with BEGIN already. - A probe makes an instance unreachable only if the instance has responded on no other connection since. Cost, by calculation: a validated write waits one round trip longer, and sends 38 bytes and receives some 50, each at most once a second per connection; a busy connection sends none.

Evidence: SilentDatabaseConnectionTest, red before: readOnASilentConnectionIsRetriedWhileNewConnectionsWork and both cases of writeAfterTheConnectionsWentSilentWhileIdleIsServed ("expected to be true": the reply was a failure), positionProbeOnASilentConnectionDoesNotMakeThePrimaryUnreachable (unreachableMs "expected: 0, but was: 60", run with the old probe on the new pool). slowStatementsAreNotRetried was green before and after. The other tests of proxy.session are unchanged and green.

--- a/core/src/main/java/org/hornbeamspread/core/placement/Reachability.java
+++ b/core/src/main/java/org/hornbeamspread/core/placement/Reachability.java
@@ -16,19 +16,14 @@
  */
 public final class Reachability {
     /** Twenty round trips between regions; even a database with a queue responds to some request much more often. */
-    private static final long SILENCE_TIMEOUT_MS = 400;
+    public static final long SILENCE_TIMEOUT_MS = 400;
 
     private static final long INITIAL_BACKOFF_MS = 100;
 
     /** The timeout of a connection attempt: an unresponsive instance is being probed about half of the time. */
     private static final long MAX_BACKOFF_MS = 500;
 
-    /** Requests without a response. */
-    private int pendingRequests;
-
-    /** Time of the last response, or of the first request after a time without pending requests. */
-    private long silentSinceMs;
-
+    private final SilenceTimer silence = new SilenceTimer();
     private long backoffMs;
     private long nextProbeAtMs;
 
@@ -39,30 +34,27 @@
 
     /** Records a request that must be responded to. */
     public void onRequestSent(long nowMs) {
-        if (pendingRequests++ == 0) {
-            silentSinceMs = nowMs;
-        }
+        silence.onRequestSent(nowMs);
     }
 
     /** Records a response, whether a success or an error. */
     public void onResponse(long nowMs) {
-        pendingRequests--;
-        silentSinceMs = nowMs;
+        silence.onResponse(nowMs);
     }
 
     /** Records that a response is no longer awaited. */
     public void onRequestAbandoned() {
-        pendingRequests--;
+        silence.onRequestAbandoned();
     }
 
     /** Records a pause of this proxy itself: responses may have arrived that are not read yet. */
     public void onLocalPause(long nowMs) {
-        silentSinceMs = nowMs;
+        silence.onLocalPause(nowMs);
     }
 
     /** Time without a response while requests are pending; 0 without pending requests. */
     public long silentMs(long nowMs) {
-        return pendingRequests > 0 ? Math.max(0, nowMs - silentSinceMs) : 0;
+        return silence.silentMs(nowMs);
     }
 
     /** Whether a reachable instance has been silent for longer than the timeout. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -19,6 +21,9 @@
  * begins and rolls back, since a database that is no longer the primary refuses such a transaction.
  */
 final class AutocommitStatement implements SessionOperation, ConnectionRequest.Listener {
+    /** Four round trips between regions. Nothing of the statement has been sent, so an early timeout costs a new connection. */
+    private static final long VALIDATION_TIMEOUT_MS = 100;
+
     private final SessionContext context;
     private final ClientSession session;
     private final Route route;
@@ -57,7 +62,7 @@
     public void onTimeout() {
         timedOut = true;
         if (lease.isPresent() && (sent || completed)) {
-            lease.get().discard();
+            lease.get().discardUnanswered();
         } else if (!completed) {
             lease.ifPresent(ConnectionLease::discard);
             connectionRequest.cancel();
@@ -93,7 +98,7 @@
         sentEpoch = context.clockEpoch();
         sent = false;
         if (isWrite()) {
-            send(granted, statement.request(), List.of());
+            sendWrite(granted);
         } else if (connectionRequest.requiredPosition.isPresent()) {
             send(granted, statement.request().requiringPosition(connectionRequest.requiredPosition.get()), List.of());
         } else {
@@ -101,6 +106,24 @@
         }
     }
 
+    /** Sends a write once the connection is known to respond; a write that was sent is in doubt if it does not. */
+    private void sendWrite(ConnectionLease granted) {
+        granted.setRetryable(true);
+        CompletableFuture<Void> validated = granted.connection().setValuesAndValidate(session.values());
+        if (!validated.isDone()) {
+            ScheduledFuture<?> timer = context.schedule(granted::discardSilent, VALIDATION_TIMEOUT_MS);
+            validated.whenComplete((ignored, error) -> timer.cancel(false));
+        }
+        validated.whenComplete((ignored, error) -> {
+            granted.setRetryable(false);
+            if (error == null) {
+                send(granted, statement.request(), List.of());
+            } else {
+                onResult(granted, null, error);
+            }
+        });
+    }
+
     private boolean isWrite() {
         return statement.kind() == ForwardedStatement.Kind.WRITE;
     }
@@ -211,6 +234,7 @@
 
     private void onConnectionLost(String instanceId, FailureException failure) {
         connectionRequest.triedInstanceIds.add(instanceId);
+        connectionRequest.connectionLost = true;
         if ((!isWrite() || !sent) && !timedOut && !completed) {
             context.router().retry(connectionRequest, RetryReason.CONNECTION_LOST);
             return;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ConnectionLease.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ConnectionLease.java
@@ -42,6 +42,23 @@
         returnConnection(true);
     }
 
+    /** Closes a connection after a timeout; one that is silent as {@link #discardSilent} does. */
+    void discardUnanswered() {
+        if (pool.isSilent(connection)) {
+            discardSilent();
+        } else {
+            discard();
+        }
+    }
+
+    /** Closes a silent connection, and idle connections that may be silent as well. */
+    void discardSilent() {
+        if (!released) {
+            pool.closeUnproven(connection);
+            discard();
+        }
+    }
+
     /** Closes the connection, which rolls back an open transaction. */
     void discard() {
         returnConnection(false);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ConnectionRequest.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ConnectionRequest.java
@@ -38,6 +38,9 @@
     /** Why the last instance with a full queue or too long a wait refused the request; null if none did. */
     RefusalReason lastQueueRefusal;
 
+    /** Whether a connection that the request used was lost, or was closed because it was silent. */
+    boolean connectionLost;
+
     int attempts;
     boolean ended;
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnectionPool.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnectionPool.java
@@ -16,6 +16,7 @@
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.placement.Reachability;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.sql.SqlConnector;
 
@@ -30,6 +31,9 @@
 
     private static final double INITIAL_SERVICE_TIME_MS = 10;
 
+    /** Service times without a response on one connection until it counts as silent. */
+    private static final double SILENT_SERVICE_TIMES = 10;
+
     private final DatabaseInstance instance;
     private final Clock clock;
     private final BiConsumer<ConnectionRequest, RetryReason> reroute;
@@ -117,10 +121,12 @@
     void check(boolean localPause) {
         if (localPause) {
             connections.onLocalPause();
+            leases.values().forEach(lease -> lease.connection().onLocalPause());
         }
         if (connections.isSilenceTimeoutExceeded()) {
             onSilenceTimeout();
         }
+        retryOnSilentConnections();
         removeExpired();
         connections.check(!waitingRequests.isEmpty());
     }
@@ -139,6 +145,40 @@
         serviceMs += SERVICE_TIME_WEIGHT * (elapsedMs - serviceMs);
     }
 
+    /**
+     * Handles a probe that got no response in time; true if the instance has responded on no other connection since, and is
+     * therefore treated as unreachable.
+     */
+    boolean onProbeTimeout(PooledConnection probed) {
+        boolean unreachable = connections.silentMs() >= probed.silentMs();
+        if (unreachable) {
+            onSilenceTimeout();
+        } else {
+            connections.closeUnproven(probed);
+        }
+        return unreachable;
+    }
+
+    /** Whether a connection is silent; the silence of the whole instance is checked apart. */
+    boolean isSilent(PooledConnection connection) {
+        return connection.silentMs() > Math.max(Reachability.SILENCE_TIMEOUT_MS, SILENT_SERVICE_TIMES * serviceMs);
+    }
+
+    void closeUnproven(PooledConnection silent) {
+        connections.closeUnproven(silent);
+    }
+
+    /**
+     * Discards connections that are silent while the instance responds on others, so that their repeatable statements are retried.
+     * A statement that only waits for its turn at the database is told apart by the service times of the others.
+     */
+    private void retryOnSilentConnections() {
+        List.copyOf(leases.values()).stream()
+                .filter(ConnectionLease::isRetryable)
+                .filter(lease -> isSilent(lease.connection()))
+                .forEach(ConnectionLease::discardUnanswered);
+    }
+
     /**
      * Handles a request on an open connection that got no response in time: idle connections are closed, waiting requests
      * are rerouted, and connections in use by repeatable statements are discarded, so that these are retried elsewhere.
@@ -257,7 +297,8 @@
     }
 
     private void startRequest(long slotRequestId, ConnectionRequest request) {
-        PooledConnection connection = connections.takeIdle(request.values);
+        PooledConnection connection =
+                connections.takeIdle(request.values, request.connectionLost ? request.arrivedMs : Long.MIN_VALUE);
         if (connection != null) {
             grant(slotRequestId, request, connection);
             return;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnections.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/InstanceConnections.java
@@ -118,6 +118,30 @@
         closeIdle();
     }
 
+    /**
+     * Closes the idle connections that have not responded since a connection went silent: when the network drops the bytes of one
+     * open connection, it often drops those of all.
+     */
+    void closeUnproven(PooledConnection silent) {
+        long silentMs = silent.silentMs();
+        long silentSinceMs = clock.millis() - silentMs;
+        List<PooledConnection> unproven = idle.stream()
+                .filter(connection -> connection.lastResponseAtMs() <= silentSinceMs)
+                .toList();
+        idle.removeAll(unproven);
+        unproven.forEach(this::discard);
+        events.record(
+                "database_connection_silent",
+                "instance",
+                instance.instanceId(),
+                "silent_ms",
+                silentMs,
+                "idle_closed",
+                unproven.size(),
+                "connections",
+                connectionCount);
+    }
+
     /**
      * Closes connections past the idle timeout, except for a retained one, and probes the instance when a probe is due: a connection attempt
      * that no request waits for.
@@ -175,19 +199,32 @@
         });
     }
 
-    /** Takes an idle connection, preferably one that already has the session's values; null when none is idle. */
-    PooledConnection takeIdle(Map<String, String> values) {
+    /**
+     * Takes an idle connection, preferably one that already has the session's values; null when none is idle.
+     *
+     * @param responseSinceMs the connection must have responded since this time, so that a request that met a silent connection does
+     *     not meet another
+     */
+    PooledConnection takeIdle(Map<String, String> values, long responseSinceMs) {
         List.copyOf(idle).stream().filter(connection -> !connection.isOpen()).forEach(connection -> {
             idle.remove(connection);
             connectionCount--;
         });
-        for (PooledConnection connection : idle) {
-            if (connection.hasValues(values)) {
-                idle.remove(connection);
-                return connection;
+        List<PooledConnection> usable = idle.stream()
+                .filter(connection -> connection.lastResponseAtMs() >= responseSinceMs)
+                .toList();
+        if (usable.isEmpty()) {
+            if (!idle.isEmpty() && connectionCount >= usableConnections()) {
+                discard(idle.removeLast());
             }
+            return null;
         }
-        return idle.pollFirst();
+        PooledConnection taken = usable.stream()
+                .filter(connection -> connection.hasValues(values))
+                .findFirst()
+                .orElseGet(() -> usable.get(0));
+        idle.remove(taken);
+        return taken;
     }
 
     /** Adds a connection outside of any transaction to the idle ones, or closes a connection above the limit. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/PooledConnection.java
@@ -16,11 +16,13 @@
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.placement.Reachability;
+import org.hornbeamspread.core.placement.SilenceTimer;
 import org.hornbeamspread.core.sql.SqlConnection;
 import org.hornbeamspread.core.sql.SqlRequest;
 import org.hornbeamspread.core.sql.SqlResult;
 import org.hornbeamspread.core.sql.SqlStatement;
 import org.hornbeamspread.core.sql.SqlStatement.PreparedDefinition;
+import org.hornbeamspread.core.sql.TransactionState;
 
 /**
  * A database connection that sessions use in turn, with the session values and prepared statements set on the connection. The
@@ -34,11 +36,19 @@
     /** The length of a SHA-256 hash in hexadecimal digits, so that a longer name is never needed. */
     private static final int MAX_ESCAPED_LENGTH = 64;
 
+    /** How long after a response a connection is taken to work. Connection pools use half a second to a few seconds. */
+    private static final long RESPONSE_VALIDITY_MS = 1_000;
+
+    private static final List<SqlRequest> VALIDATION = List.of(
+            SqlRequest.internal(new SqlStatement.Begin(true)), SqlRequest.internal(new SqlStatement.Rollback()));
+
     private static final Escaper NAME_ESCAPER = new PercentEscaper("-_.", false);
 
     private final SqlConnection connection;
     private final Reachability reachability;
     private final Clock clock;
+    private final SilenceTimer silence = new SilenceTimer();
+    private long lastResponseAtMs;
     private long idleSinceMs;
     private final Map<String, String> values = new TreeMap<>();
     private final Set<PreparedDefinition> prepared = new HashSet<>();
@@ -47,6 +57,7 @@
         this.connection = connection;
         this.reachability = reachability;
         this.clock = clock;
+        this.lastResponseAtMs = clock.millis();
     }
 
     /** Records that the connection is idle from now on. */
@@ -66,6 +77,21 @@
         connection.close();
     }
 
+    /** Time without a response while requests are pending on this connection; 0 without pending requests. */
+    long silentMs() {
+        return silence.silentMs(clock.millis());
+    }
+
+    /** When the connection was opened, or last carried a response. */
+    long lastResponseAtMs() {
+        return lastResponseAtMs;
+    }
+
+    /** Records a pause of this proxy itself. */
+    void onLocalPause() {
+        silence.onLocalPause(clock.millis());
+    }
+
     boolean hasValues(Map<String, String> sessionValues) {
         return values.equals(sessionValues);
     }
@@ -137,6 +163,22 @@
                 });
     }
 
+    /**
+     * Sets a session's values if necessary, and checks a connection that has not responded lately: one that went silent while it
+     * was idle fails here, before a statement is sent that would be in doubt. BEGIN and ROLLBACK occupy no slot of the database.
+     */
+    CompletableFuture<Void> setValuesAndValidate(Map<String, String> sessionValues) {
+        boolean responded = clock.millis() - lastResponseAtMs <= RESPONSE_VALIDITY_MS;
+        return setValues(sessionValues, responded ? List.of() : VALIDATION).thenAccept(validation -> {
+            boolean transactionOpen = !validation.isEmpty()
+                    && validation.get(validation.size() - 1).state() != TransactionState.IDLE;
+            if (transactionOpen) {
+                close();
+                throw new FailureException(FailureType.CONNECTION_LOST, "the validation left a transaction open");
+            }
+        });
+    }
+
     /** Sets a session's values if necessary and begins a transaction, whose first result it returns. */
     CompletableFuture<SqlResult> begin(Map<String, String> sessionValues, SqlRequest begin) {
         return setValues(sessionValues, List.of(begin)).thenApply(results -> results.get(0));
@@ -146,11 +188,15 @@
         List<CompletableFuture<SqlResult>> results = connection.send(requests);
         for (CompletableFuture<SqlResult> result : results) {
             reachability.onRequestSent(clock.millis());
+            silence.onRequestSent(clock.millis());
             result.whenComplete((response, error) -> {
                 if (error == null) {
-                    reachability.onResponse(clock.millis());
+                    lastResponseAtMs = clock.millis();
+                    reachability.onResponse(lastResponseAtMs);
+                    silence.onResponse(lastResponseAtMs);
                 } else {
                     reachability.onRequestAbandoned();
+                    silence.onRequestAbandoned();
                 }
             });
         }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
@@ -358,8 +358,9 @@
             executor.schedule(
                     () -> {
                         if (!results.get(1).isDone()) {
-                            lease.pool().onSilenceTimeout();
-                            state.onPrimaryUnreachable(clock.millis());
+                            if (lease.pool().onProbeTimeout(lease.connection())) {
+                                state.onPrimaryUnreachable(clock.millis());
+                            }
                             lease.discard();
                         }
                     },
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -61,7 +61,7 @@
             heldLease.discard();
             return;
         }
-        ScheduledFuture<?> timeout = context.schedule(heldLease::discard, route.statementTimeoutMs());
+        ScheduledFuture<?> timeout = context.schedule(heldLease::discardUnanswered, route.statementTimeoutMs());
         heldLease
                 .connection()
                 .send(List.of(SqlRequest.internal(new SqlStatement.Rollback())))
@@ -131,7 +131,7 @@
             }
             timedOut = true;
             if (lease.isPresent() && sent) {
-                lease.get().discard();
+                lease.get().discardUnanswered();
                 return;
             }
             lease.ifPresent(ConnectionLease::discard);
@@ -188,6 +188,7 @@
             }
             lease = Optional.empty();
             connectionRequest.triedInstanceIds.add(granted.instance().instanceId());
+            connectionRequest.connectionLost |= error != null;
             if (error != null || result.state() != TransactionState.IDLE) {
                 granted.discard();
             } else {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SilentDatabaseConnectionTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SilentDatabaseConnectionTest.java
@@ -11,9 +11,11 @@
 import org.hornbeamspread.core.sql.SqlStatement.Read;
 import org.hornbeamspread.core.sql.SqlStatement.Write;
 import org.hornbeamspread.proxy.session.EngineHarness.Client;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Open connections to a database carry nothing any more, without a reset, while new ones work. */
 final class SilentDatabaseConnectionTest {
@@ -40,6 +42,76 @@
         assertThat(harness.primary.silentConnectionCount()).isEqualTo(0);
     }
 
+    /** A write on a connection that went silent while it was idle ended IN_DOUBT after the statement timeout. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 5})
+    void writeAfterTheConnectionsWentSilentWhileIdleIsServed(int otherConnections) {
+        harness.primary.serviceMs = 40;
+        for (int i = 0; i <= otherConnections; i++) {
+            send(EngineHarness.PRIMARY_ROUTE, "warm" + i);
+        }
+        runInSteps(1_200);
+        harness.primary.silenceOpenConnections();
+        Client client = send(EngineHarness.PRIMARY_ROUTE, "w");
+        runInSteps(STATEMENT_TIMEOUT_MS);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        assertThat(client.replyTimeMs()).isAtMost(250);
+        assertThat(harness.primary.silentConnectionCount()).isEqualTo(0);
+        assertThat(harness.primary.executedStatements.stream()
+                        .filter(done -> done.id().equals("w"))
+                        .count())
+                .isEqualTo(1);
+    }
+
+    /** Responses on new connections hid that an older one was silent: its read waited for the statement timeout and failed. */
+    @Test
+    void readOnASilentConnectionIsRetriedWhileNewConnectionsWork() {
+        serve(EngineHarness.READ_YOUR_WRITES_ROUTE, 20);
+        harness.databases.forEach(FakeDatabase::silenceOpenConnections);
+        Client client = send(EngineHarness.READ_YOUR_WRITES_ROUTE, "r");
+        List<Client> others = new ArrayList<>();
+        for (int i = 0; i < STATEMENT_TIMEOUT_MS / INTERVAL_MS; i++) {
+            others.add(send(EngineHarness.READ_YOUR_WRITES_ROUTE, "o" + i));
+            runInSteps(INTERVAL_MS);
+        }
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        runInSteps(STATEMENT_TIMEOUT_MS);
+        others.forEach(other -> assertThat(other.lastReply().isSuccess()).isTrue());
+    }
+
+    /** One silent connection made a position probe declare a primary unreachable that answered on all others. */
+    @Test
+    void positionProbeOnASilentConnectionDoesNotMakeThePrimaryUnreachable() {
+        serve(EngineHarness.PRIMARY_ROUTE, 1);
+        runInSteps(2_000);
+        harness.primary.silenceOpenConnections();
+        send(EngineHarness.BOUNDED_STALENESS_ROUTE, "needs a position");
+        runInSteps(200);
+        serve(EngineHarness.PRIMARY_ROUTE, 1);
+        runInSteps(150);
+
+        assertThat(harness.primary.silentConnectionCount()).isEqualTo(0);
+        assertThat(harness.engine.primaryHealth().get(0).unreachableMs()).isEqualTo(0);
+    }
+
+    /** A connection with a statement in the database's queue is not silent. */
+    @Test
+    void slowStatementsAreNotRetried() {
+        harness.nearReplica.serviceMs = 100;
+        harness.farReplica.serviceMs = 100;
+        harness.primary.serviceMs = 100;
+        serve(EngineHarness.READ_YOUR_WRITES_ROUTE, 100);
+        harness.databases.forEach(database -> database.serviceMs = 700);
+        Client slow = send(EngineHarness.READ_YOUR_WRITES_ROUTE, "slow");
+        harness.databases.forEach(database -> database.serviceMs = 100);
+        serve(EngineHarness.READ_YOUR_WRITES_ROUTE, 80);
+
+        assertThat(slow.lastReply().isSuccess()).isTrue();
+        assertThat(slow.replyTimeMs()).isAtLeast(700);
+    }
+
     private static Stream<Arguments> statementsThatHoldAConnection() {
         return Stream.of(
                 Arguments.of(List.of(new Write("item", "5"))),
