Forwarded requests: one slow answer no longer fails the others on its connection

What callers saw: one forwarded request that took longer than 700 ms, such as a configuration that was slow to commit, failed every heartbeat and read that the leader was answering on the same connection with a 503, although they had run or were about to.

Cause: after any time-out the shared connection to the leader was closed. That is right for a silent connection and wrong for a slow request.

Fix: LeaderConnection counts the answers. A time-out marks the connection silent only if it has carried no answer since that request was sent; then new requests open another, and it is closed after its last pending one. A silent connection is still left after one time-out, sooner than by the keep-alive of the transport. Repeating a forwarded change stays harmless: configurations are ordered by version, announcements by sequence, departures by time of birth, and the status 503 doesn't promise that nothing ran.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ForwardingRouteOperations.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ForwardingRouteOperations.java
@@ -42,7 +42,7 @@
     private final ControlMembership membership;
     private final PeerTransport transport;
     private final Supplier<List<ControlMember>> members;
-    private final Map<Endpoint, CompletableFuture<PeerConnection>> connections = new ConcurrentHashMap<>();
+    private final Map<Endpoint, CompletableFuture<LeaderConnection>> connections = new ConcurrentHashMap<>();
 
     /** Creates the operations of a member. */
     public ForwardingRouteOperations(
@@ -186,22 +186,21 @@
     }
 
     private CompletableFuture<Envelope> forward(Endpoint leader, Envelope request) {
-        CompletableFuture<PeerConnection> connection = connections.compute(
-                leader,
-                (endpoint, existing) -> existing == null || isBroken(existing)
-                        ? transport.connect(
-                                endpoint, CONNECT_TIMEOUT, (peer, unexpectedRequest, replyCallback) -> peer.close())
-                        : existing);
-        return connection.thenCompose(peer -> peer.request(request, FORWARD_TIMEOUT)
-                .whenComplete((response, error) -> {
-                    if (error != null && FailureException.of(error).type() == FailureType.REQUEST_TIMEOUT) {
-                        peer.close();
-                    }
-                }));
+        return connections
+                .compute(
+                        leader,
+                        (endpoint, existing) -> existing == null || isBroken(existing) ? connect(endpoint) : existing)
+                .thenCompose(connection -> connection.request(request));
+    }
+
+    private CompletableFuture<LeaderConnection> connect(Endpoint leader) {
+        return transport
+                .connect(leader, CONNECT_TIMEOUT, (peer, unexpectedRequest, replyCallback) -> peer.close())
+                .thenApply(connection -> new LeaderConnection(connection, FORWARD_TIMEOUT));
     }
 
-    private static boolean isBroken(CompletableFuture<PeerConnection> connection) {
+    private static boolean isBroken(CompletableFuture<LeaderConnection> connection) {
         return connection.isCompletedExceptionally()
-                || (connection.isDone() && !connection.join().isOpen());
+                || (connection.isDone() && !connection.join().isUsable());
     }
 }
