Commands to databases: a missing answer is a REQUEST_TIMEOUT

Operators saw INTERNAL with a Java exception as the outcome of a command whose database did not answer in time. The connection was and is closed, and the next command opens another.

Evidence: SqlAdministrationTest was red before ("expected: REQUEST_TIMEOUT, but was: INTERNAL"); its check that one command is lost and the next is served by a new connection held before.

--- a/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
@@ -110,10 +111,14 @@
             return results.get(results.size() - 1)
                     .thenCompose(last -> results.get(0))
                     .orTimeout(RESPONSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
-                    .whenComplete((result, error) -> {
-                        if (error != null) {
-                            connection.close();
+                    .handle((result, error) -> {
+                        if (error == null) {
+                            return result;
                         }
+                        connection.close();
+                        throw error instanceof TimeoutException
+                                ? new FailureException(FailureType.REQUEST_TIMEOUT, instance.instanceId())
+                                : FailureException.of(error);
                     });
         });
     }
