RPC calls: bound a response that stops in the middle

A call whose server went silent after the headers waited for the body for good: the timeout of the JDK's HTTP client ends with the headers. The call is now cancelled after its timeout, which closes the connection, and fails with REQUEST_TIMEOUT.

Evidence: RpcClientTest#callToASilentServerFailsWithATimeout was red before for the response cut off within its body (still pending after 20 s, "expected: REQUEST_TIMEOUT, but was: INTERNAL", the test's own limit); green before for no bytes and for incomplete headers.

--- a/protocol/src/main/java/org/hornbeamspread/http/RpcClient.java
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcClient.java
@@ -8,8 +8,10 @@
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.Endpoint;
@@ -39,14 +41,20 @@
                 .header("Content-Type", RpcCodec.PROTOBUF.contentType())
                 .POST(HttpRequest.BodyPublishers.ofByteArray(RpcCodec.PROTOBUF.encode(request)))
                 .build();
-        return httpClient
-                .sendAsync(httpRequest, HttpResponse.BodyHandlers.ofByteArray())
-                .handle((response, error) -> {
-                    if (error != null) {
-                        throw transportFailure(error);
-                    }
-                    return decode(response, responsePrototype);
-                });
+        CompletableFuture<HttpResponse<byte[]>> exchange =
+                httpClient.sendAsync(httpRequest, HttpResponse.BodyHandlers.ofByteArray());
+        // The timeout of the HTTP client ends with the headers. Cancelling closes the connection, so that it is not
+        // used again.
+        CompletableFuture<Void> timer =
+                new CompletableFuture<Void>().completeOnTimeout(null, timeout.toMillis(), TimeUnit.MILLISECONDS);
+        timer.thenRun(() -> exchange.cancel(true));
+        return exchange.handle((response, error) -> {
+            timer.cancel(false);
+            if (error != null) {
+                throw transportFailure(error);
+            }
+            return decode(response, responsePrototype);
+        });
     }
 
     private static <A extends Message> A decode(HttpResponse<byte[]> response, A responsePrototype) {
@@ -85,7 +93,7 @@
         if (cause instanceof ConnectException) {
             return new FailureException(FailureType.CONNECTION_REFUSED, String.valueOf(cause.getMessage()));
         }
-        if (cause instanceof HttpTimeoutException) {
+        if (cause instanceof HttpTimeoutException || cause instanceof CancellationException) {
             return new FailureException(FailureType.REQUEST_TIMEOUT, String.valueOf(cause.getMessage()));
         }
         return new FailureException(FailureType.CONNECTION_LOST, String.valueOf(cause));
