--- a/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -28,6 +29,10 @@
  */
 public final class RpcServer implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 4 << 20;
+
+    /** Longer than any call. A connection whose peer left without a word stayed open for good. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -66,6 +71,7 @@
                             .registerShutdownHook(false)
                             .address(InetAddress.getByName(endpoint.getHost()))
                             .port(endpoint.getPort())
+                            .idleTimeout(IDLE_TIMEOUT)
                             .maxContentLength(MAX_BODY_BYTES))
                     .handlers(this::configureRoutes));
         } catch (Exception e) {
