--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -21,6 +21,7 @@
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
+import org.hornbeamspread.transport.PeerConnection;
 import org.hornbeamspread.transport.PeerServer;
 import org.hornbeamspread.transport.PeerTransport;
 import org.junit.jupiter.api.AfterEach;
@@ -37,7 +38,8 @@
     private final PeerServer leader = transport
             .listen(
                     Endpoint.newBuilder().setHost("127.0.0.1").build(),
-                    (connection, request, answer) -> watches.add(new Watch(request.getWatchSystem(), answer)))
+                    (connection, request, answer) ->
+                            watches.add(new Watch(connection, request.getWatchSystem(), answer)))
             .join();
     private final SessionEngine engine = new SessionEngine(
             "proxy-1",
@@ -50,7 +52,7 @@
             EventLog.NONE,
             new PrometheusRegistry());
 
-    private record Watch(WatchSystem request, Consumer<Envelope> answer) {
+    private record Watch(PeerConnection connection, WatchSystem request, Consumer<Envelope> answer) {
         void answer(SystemUpdate.Builder update) {
             answer.accept(Envelope.newBuilder().setSystemUpdate(update).build());
         }
@@ -93,6 +95,19 @@
         assertThat(instanceIds()).containsExactly("b");
     }
 
+    @Test
+    void silentConnectionToTheLeaderIsReplaced() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addInstances(instance("a", 1)));
+        Watch unanswered = nextWatch();
+        Watch retried = nextWatch();
+        retried.answer(update(2).addInstances(instance("b", 1)));
+        nextWatch();
+
+        assertThat(retried.connection()).isNotSameInstanceAs(unanswered.connection());
+        assertThat(instanceIds()).containsExactly("b");
+    }
+
     /** An instance that names no usable database kept a proxy from every update that contained it. */
     @Test
     void unusableInstanceIsIgnoredAndTheOthersAreApplied() throws InterruptedException {
