Close connections between processes that are open and carry nothing

Callers saw no configuration for a whole calm span: every control member ran, accepted connections and had no leader. PeerConnections kept a connection until its channel closed, and nothing closed one that was open and silent, so votes and heartbeats went into it for good.

The rule is in the transport, on both sides of every connection. ConnectionLiveness decides, with a clock that tests pause: a probe after 500 ms without a message, the end after 1.5 s without any bytes. Bytes count, not answers, so a slow link with a large message stays. A pause of the process itself counts for 500 ms at most. Netty's IdleStateHandler was not used: its clock (ticksInNanos) is package-private, so no test can pause it. A probe is a request of protocol version 0, which the transport of every release answers without its handler: an earlier release sends no probes, and one-way keep-alives would end each idle connection to it every 1.5 s during an upgrade. A peer that takes no bytes ends its connection at 32 MiB; accepted connections are counted and bounded at 16,384. PeerConnections connects to a member at most every 50 to 100 ms.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -81,7 +81,8 @@
             StoredState stored = diskLog.takeStoredState();
             stored.records().forEach(record -> updateDirectory(RecordCodec.wire(record)));
             this.diskWriter = new DiskWriter("disk-" + settings.memberId(), diskLog, directory, this::enqueueDiskEvent);
-            PeerConnections connections = new PeerConnections(transport, settings.electionTimeout(), this::onResponse);
+            PeerConnections connections = new PeerConnections(
+                    transport, clock, new SplittableRandom(), settings.electionTimeout(), this::onResponse);
             this.loop = new ConsensusLoop(
                     settings, stateMachine, clock, stored, diskWriter, directory, connections, metrics);
         } catch (RuntimeException e) {
--- a/control/src/main/java/org/hornbeamspread/control/consensus/PeerConnections.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/PeerConnections.java
@@ -1,10 +1,12 @@
 package org.hornbeamspread.control.consensus;
 
+import java.time.Clock;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.transport.PeerConnection;
@@ -12,13 +14,22 @@
 
 /**
  * The connections to the other members. A message to an unreachable member is dropped; the consensus node sends again
- * later. A few messages are queued while a connection is being opened, so that the first vote request is not lost. Used
- * by the consensus thread; responses arrive on network threads.
+ * later. A few messages are queued while a connection is being opened, so that the first vote request is not lost. The transport
+ * closes a connection whose peer is silent; the next message opens another. Used by the consensus thread; responses arrive on
+ * network threads.
  */
 final class PeerConnections {
     private static final int MAX_QUEUED_MESSAGES = 16;
 
+    /** The shortest time between two attempts to connect to an endpoint, a tenth of the election timeout. */
+    private static final long RECONNECT_DELAY_MS = 50;
+
+    /** Spreads the attempts of members that lost their connections at the same moment. */
+    private static final long RECONNECT_JITTER_MS = 50;
+
     private final PeerTransport transport;
+    private final Clock clock;
+    private final RandomGenerator random;
     private final Duration connectTimeout;
     private final Consumer<Envelope> onResponse;
     private final Map<Endpoint, CompletableFuture<PeerConnection>> connections = new HashMap<>();
@@ -26,8 +37,17 @@
     /** The number of messages queued for each connection that is being opened. */
     private final Map<Endpoint, Integer> queuedMessages = new HashMap<>();
 
-    PeerConnections(PeerTransport transport, Duration connectTimeout, Consumer<Envelope> onResponse) {
+    private final Map<Endpoint, Long> nextConnectMs = new HashMap<>();
+
+    PeerConnections(
+            PeerTransport transport,
+            Clock clock,
+            RandomGenerator random,
+            Duration connectTimeout,
+            Consumer<Envelope> onResponse) {
         this.transport = transport;
+        this.clock = clock;
+        this.random = random;
         this.connectTimeout = connectTimeout;
         this.onResponse = onResponse;
     }
@@ -36,6 +56,11 @@
     void send(Endpoint endpoint, Envelope request, Duration timeout) {
         CompletableFuture<PeerConnection> connection = connections.get(endpoint);
         if (connection == null || isBroken(connection)) {
+            long nowMs = clock.millis();
+            if (nowMs < nextConnectMs.getOrDefault(endpoint, nowMs)) {
+                return;
+            }
+            nextConnectMs.put(endpoint, nowMs + RECONNECT_DELAY_MS + random.nextLong(RECONNECT_JITTER_MS));
             connection = transport.connect(endpoint, connectTimeout, (peer, unexpected, replyCallback) -> peer.close());
             connections.put(endpoint, connection);
             queuedMessages.put(endpoint, 0);
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -109,6 +109,14 @@
         running.remove(memberId).log().close();
     }
 
+    /** The number of connections between members that were closed because no bytes arrived any more. */
+    long silentConnections() {
+        return transport.counters().silentConnections()
+                + memberTransports.values().stream()
+                        .mapToLong(member -> member.counters().silentConnections())
+                        .sum();
+    }
+
     List<String> runningMembers() {
         return List.copyOf(running.keySet());
     }
--- a/protocol/src/main/java/org/hornbeamspread/transport/Envelopes.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/Envelopes.java
@@ -13,6 +13,12 @@
     /** The version of the framed protocol that this build implements. */
     public static final int PROTOCOL_VERSION = 1;
 
+    /**
+     * A request of a version that no release implements, so that the transport of every release answers it without its handler. Its id is
+     * never that of another request, so its answer is dropped.
+     */
+    static final Envelope PROBE = Envelope.newBuilder().setRequestId(-1).build();
+
     private Envelopes() {}
 
     /** The wire form of a failure. */
--- a/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
@@ -115,7 +115,9 @@
     }
 
     private void onFrame(Envelope frame) {
-        if (frame.getProtocolVersion() != Envelopes.PROTOCOL_VERSION) {
+        if (frame.equals(Envelopes.PROBE)) {
+            onProbe();
+        } else if (frame.getProtocolVersion() != Envelopes.PROTOCOL_VERSION) {
             onUnsupportedVersion(frame);
         } else if (frame.getAnswer()) {
             onAnswer(frame);
@@ -147,6 +149,13 @@
         }
     }
 
+    /** Answers unless other bytes are queued, which show this side to the peer as well. */
+    private void onProbe() {
+        if (channel.isWritable()) {
+            sendAnswer(Envelopes.PROBE.getRequestId(), Envelope.getDefaultInstance());
+        }
+    }
+
     private void onUnsupportedVersion(Envelope frame) {
         if (!frame.getAnswer() && frame.getRequestId() != 0) {
             sendAnswer(
--- a/protocol/src/main/java/org/hornbeamspread/transport/PeerTransport.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerTransport.java
@@ -18,23 +18,34 @@
 import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.connection.ConnectionLiveness;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.runtime.MonotonicClock;
 
-/** Opens and accepts peer connections. Frames are length-prefixed protobuf envelopes. */
+/**
+ * Opens and accepts peer connections. Frames are length-prefixed protobuf envelopes. A connection that is open but carries no bytes any more
+ * is closed on both sides, so that its users open another; see {@link ConnectionLiveness}.
+ */
 public final class PeerTransport implements AutoCloseable {
     /** The maximum size of a frame; a longer frame closes its connection. */
     public static final int MAX_FRAME_BYTES = 16 << 20;
 
+    /** Twice the proxies of the size to design for; further connections are closed at once. */
+    public static final int MAX_ACCEPTED_CONNECTIONS = 16_384;
+
     private static final int LENGTH_PREFIX_BYTES = 4;
 
     private final EventLoopGroup eventLoopGroup;
     private final boolean ownsEventLoopGroup;
     private final AddressTranslator translator;
+    private final Clock clock = new MonotonicClock();
+    private final TransportCounters counters = new TransportCounters();
 
     /** A transport with its own network threads that connects to addresses as announced. */
     public PeerTransport(int threads) {
@@ -62,7 +73,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(channelInitializer(handler))
+                .childHandler(acceptedInitializer(handler))
                 .bind(endpoint.getHost(), endpoint.getPort());
         return toCompletableFuture(binding).thenApply(PeerServer::new);
     }
@@ -83,6 +94,11 @@
                         .connection());
     }
 
+    /** The counters of this transport's connections. */
+    public TransportCounters counters() {
+        return counters;
+    }
+
     @Override
     public void close() {
         if (ownsEventLoopGroup) {
@@ -90,21 +106,40 @@
         }
     }
 
-    private static ChannelInitializer<SocketChannel> channelInitializer(PeerHandler handler) {
+    private ChannelInitializer<SocketChannel> acceptedInitializer(PeerHandler handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                if (!counters.tryAccept(MAX_ACCEPTED_CONNECTIONS)) {
+                    channel.close();
+                    return;
+                }
+                channel.closeFuture().addListener(closed -> counters.onAcceptedClosed());
+                addHandlers(channel, handler);
+            }
+        };
+    }
+
+    private ChannelInitializer<SocketChannel> channelInitializer(PeerHandler handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                ChannelPipeline pipeline = channel.pipeline();
-                pipeline.addLast(new LengthFieldBasedFrameDecoder(
-                        MAX_FRAME_BYTES, 0, LENGTH_PREFIX_BYTES, 0, LENGTH_PREFIX_BYTES));
-                pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
-                pipeline.addLast(new LengthFieldPrepender(LENGTH_PREFIX_BYTES));
-                pipeline.addLast(new ProtobufEncoder());
-                pipeline.addLast(new PeerConnection.InboundHandler(handler));
+                addHandlers(channel, handler);
             }
         };
     }
 
+    private void addHandlers(SocketChannel channel, PeerHandler handler) {
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(new LivenessHandler(ConnectionLiveness.Parameters.DEFAULT, clock, counters));
+        pipeline.addLast(
+                new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_PREFIX_BYTES, 0, LENGTH_PREFIX_BYTES));
+        pipeline.addLast(new ProtobufDecoder(Envelope.getDefaultInstance()));
+        pipeline.addLast(new LengthFieldPrepender(LENGTH_PREFIX_BYTES));
+        pipeline.addLast(new ProtobufEncoder());
+        pipeline.addLast(new PeerConnection.InboundHandler(handler));
+    }
+
     private static CompletableFuture<Channel> toCompletableFuture(ChannelFuture operation) {
         CompletableFuture<Channel> result = new CompletableFuture<>();
         operation.addListener(completed -> {
