--- a/control/src/main/java/org/hornbeamspread/control/consensus/PeerConnections.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/PeerConnections.java
@@ -32,12 +32,12 @@
     private final RandomGenerator random;
     private final Duration connectTimeout;
     private final Consumer<Envelope> onResponse;
-    private final Map<Endpoint, CompletableFuture<PeerConnection>> connections = new HashMap<>();
+    private final Map<Link, CompletableFuture<PeerConnection>> connections = new HashMap<>();
 
     /** The number of messages queued for each connection that is being opened. */
-    private final Map<Endpoint, Integer> queuedMessages = new HashMap<>();
+    private final Map<Link, Integer> queuedMessages = new HashMap<>();
 
-    private final Map<Endpoint, Long> nextConnectMs = new HashMap<>();
+    private final Map<Link, Long> nextConnectMs = new HashMap<>();
 
     PeerConnections(
             PeerTransport transport,
@@ -54,18 +54,19 @@
 
     /** Sends a request once the connection is open. */
     void send(Endpoint endpoint, Envelope request, Duration timeout) {
-        CompletableFuture<PeerConnection> connection = connections.get(endpoint);
+        Link link = new Link(endpoint, request.hasInstallSnapshot());
+        CompletableFuture<PeerConnection> connection = connections.get(link);
         if (connection == null || isBroken(connection)) {
             long nowMs = clock.millis();
-            if (nowMs < nextConnectMs.getOrDefault(endpoint, nowMs)) {
+            if (nowMs < nextConnectMs.getOrDefault(link, nowMs)) {
                 return;
             }
-            nextConnectMs.put(endpoint, nowMs + RECONNECT_DELAY_MS + random.nextLong(RECONNECT_JITTER_MS));
+            nextConnectMs.put(link, nowMs + RECONNECT_DELAY_MS + random.nextLong(RECONNECT_JITTER_MS));
             connection = transport.connect(endpoint, connectTimeout, (peer, unexpected, replyCallback) -> peer.close());
-            connections.put(endpoint, connection);
-            queuedMessages.put(endpoint, 0);
+            connections.put(link, connection);
+            queuedMessages.put(link, 0);
         }
-        if (connection.isDone() || queuedMessages.merge(endpoint, 1, Integer::sum) <= MAX_QUEUED_MESSAGES) {
+        if (connection.isDone() || queuedMessages.merge(link, 1, Integer::sum) <= MAX_QUEUED_MESSAGES) {
             connection.thenAccept(open -> open.request(request, timeout).thenAccept(onResponse));
         }
     }
@@ -79,4 +80,7 @@
         return connection.isCompletedExceptionally()
                 || (connection.isDone() && !connection.join().isOpen());
     }
+
+    /** A connection to a member. Snapshots have one of their own, so that heartbeats do not wait behind them on a slow link. */
+    private record Link(Endpoint endpoint, boolean forSnapshots) {}
 }
--- a/control/src/test/java/org/hornbeamspread/control/consensus/SilentConnectionsTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/SilentConnectionsTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.nio.file.Path;
@@ -15,8 +16,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.Endpoint;
+import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.SetDepartures;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -26,6 +29,13 @@
     /** {@code stable_window_ms} of the small sites: the time after the last disruption in which service may be suspended. */
     private static final Duration STABLE_WINDOW = Duration.ofSeconds(4);
 
+    /** {@code recovery_s} of the small sites. */
+    private static final Duration RECOVERY = Duration.ofSeconds(12);
+
+    /** The slowest link of the platform, 21 Mbit/s. */
+    private static final long SLOW_LINK_BYTES_PER_SECOND = 21_000_000 / 8;
+
+    private static final int SNAPSHOT_BYTES = 4 << 20;
     private static final long BUDGET_BYTES = 1 << 20;
     private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
 
@@ -60,6 +70,39 @@
         }
     }
 
+    /**
+     * A connection that carries a large snapshot slowly is not silent, and the heartbeats of a leader that needs the receiver for its
+     * majority do not wait behind the snapshot.
+     */
+    @Test
+    void aSnapshotOnASlowLinkEndsNeitherItsConnectionNorTheLeadership() throws InterruptedException {
+        try (LogCluster cluster = new LogCluster(directory, 3, 1_000, BUDGET_BYTES, this::relayed)) {
+            cluster.startAll();
+            String leader = cluster.awaitLeader();
+            String absent = leader.equals("c1") ? "c2" : "c1";
+            cluster.stop(absent);
+            ControlCommand large = ControlCommand.newBuilder()
+                    .setReplaceRoutes(RouteConfigurationDocument.newBuilder()
+                            .setVersion(1)
+                            .setSource(ByteString.copyFrom(new byte[SNAPSHOT_BYTES])))
+                    .build();
+            assertThat(awaitProposal(cluster, large, LogCluster.TIMEOUT)).isTrue();
+            long term = cluster.log(leader).leadership().term();
+            long silentBefore = cluster.silentConnections();
+            relays.values().forEach(relay -> relay.setRate(SLOW_LINK_BYTES_PER_SECOND));
+            cluster.start(absent);
+            cluster.stop(cluster.runningMembers().stream()
+                    .filter(id -> !id.equals(leader) && !id.equals(absent))
+                    .findFirst()
+                    .orElseThrow());
+            assertWithMessage("every member applies a change within %s", RECOVERY)
+                    .that(awaitProposal(cluster, change("after"), RECOVERY))
+                    .isTrue();
+            assertThat(cluster.silentConnections()).isEqualTo(silentBefore);
+            assertThat(cluster.log(leader).leadership().term()).isEqualTo(term);
+        }
+    }
+
     private Endpoint relayed(String from, Endpoint to) {
         return relays.computeIfAbsent(new Direction(from, to), direction -> new SilentRelay(group, to))
                 .endpoint();
--- a/control/src/test/java/org/hornbeamspread/control/consensus/SilentRelay.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/SilentRelay.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -16,8 +17,11 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.hornbeamspread.protocol.schema.Endpoint;
 
 /**
@@ -27,8 +31,16 @@
 final class SilentRelay implements AutoCloseable {
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
     private final Channel server;
+
+    /** When each direction of the link has carried the bytes read so far. */
+    private final AtomicLong requestsFreeNs = new AtomicLong(System.nanoTime());
+
+    private final AtomicLong answersFreeNs = new AtomicLong(System.nanoTime());
     private volatile boolean dark;
 
+    /** The rate of the link in each direction, which its connections share; unlimited while absent. */
+    private volatile OptionalLong bytesPerSecond = OptionalLong.empty();
+
     SilentRelay(EventLoopGroup group, Endpoint target) {
         InetSocketAddress targetAddress = new InetSocketAddress(target.getHost(), target.getPort());
         server = new ServerBootstrap()
@@ -67,6 +79,11 @@
         dark = isDark;
     }
 
+    /** Limits the rate of the link in each direction. */
+    void setRate(long rateBytesPerSecond) {
+        bytesPerSecond = OptionalLong.of(rateBytesPerSecond);
+    }
+
     /** Closes the open connections. */
     void reset() {
         List.copyOf(links).forEach(link -> {
@@ -131,11 +148,24 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
+            int bytes = ((ByteBuf) message).readableBytes();
             if (isSilent()) {
                 ReferenceCountUtil.release(message);
             } else {
                 destination().writeAndFlush(message);
             }
+            bytesPerSecond.ifPresent(rate -> pauseReads(context, bytes, rate));
+        }
+
+        private void pauseReads(ChannelHandlerContext context, int bytes, long rate) {
+            long nowNs = System.nanoTime();
+            AtomicLong freeNs = towardsTarget ? requestsFreeNs : answersFreeNs;
+            long resumeNs =
+                    freeNs.updateAndGet(free -> Math.max(free, nowNs) + bytes * TimeUnit.SECONDS.toNanos(1) / rate);
+            context.channel().config().setAutoRead(false);
+            context.executor()
+                    .schedule(
+                            () -> context.channel().config().setAutoRead(true), resumeNs - nowNs, TimeUnit.NANOSECONDS);
         }
 
         @Override
