--- a/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/ControlDaemon.java
@@ -24,6 +24,7 @@
 import org.hornbeamspread.transport.PeerHandler;
 import org.hornbeamspread.transport.PeerServer;
 import org.hornbeamspread.transport.PeerTransport;
+import org.hornbeamspread.transport.TransportMetrics;
 
 /** A running control member: the replicated log, the coordinator, the shared peer port and the HTTP port. */
 public final class ControlDaemon implements AutoCloseable {
@@ -54,6 +55,7 @@
         MonotonicClock clock = new MonotonicClock();
         PeerTransport transport = new PeerTransport(NETWORK_THREADS, settings.translator());
         ControlMetrics metrics = new ControlMetrics(registry);
+        TransportMetrics.register(registry, transport.counters());
         ControlStateMachine machine = new ControlStateMachine();
         PublishedState state = new PublishedState(machine, machine::state);
         ConsensusSettings consensus = ConsensusSettings.of(
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -85,8 +85,8 @@
             stored.records().forEach(record -> updateDirectory(RecordCodec.wire(record)));
             this.diskWriter = new DiskWriter("disk-" + settings.memberId(), diskLog, directory, this::enqueueDiskEvent);
             PeerConnectionTracker tracker = new PeerConnectionTracker(clock, directory, events, metrics);
-            PeerConnections connections =
-                    new PeerConnections(transport, settings.electionTimeout(), this::onResponse, tracker);
+            PeerConnections connections = new PeerConnections(
+                    transport, clock, new SplittableRandom(), settings.electionTimeout(), this::onResponse, tracker);
             ElectionTracker elections =
                     new ElectionTracker(settings.memberId(), clock, events, metrics, tracker::describe);
             this.loop = new ConsensusLoop(
--- a/control/src/main/java/org/hornbeamspread/control/consensus/PeerConnectionTracker.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/PeerConnectionTracker.java
@@ -35,6 +35,8 @@
         LOST,
         /** The peer sent a request, which a member receives only on its listening port. */
         UNEXPECTED_REQUEST,
+        /** No bytes arrived any more. */
+        SILENT,
         /** This member stops. */
         SHUTDOWN
     }
@@ -46,6 +48,11 @@
         return attempt;
     }
 
+    /** Called before a connection for snapshots is opened, which is logged and counted, but not described. */
+    Attempt onOpeningForSnapshots(Endpoint peer) {
+        return new Attempt(peer);
+    }
+
     /** Called before this member closes all connections. */
     void onShutdown() {
         latestAttempts.values().forEach(attempt -> attempt.onClosing(ConnectionEnd.SHUTDOWN));
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
@@ -19,6 +19,7 @@
 import org.hornbeamspread.transport.PeerHandler;
 import org.hornbeamspread.transport.PeerServer;
 import org.hornbeamspread.transport.PeerTransport;
+import org.hornbeamspread.transport.TransportMetrics;
 
 /** A running control member that serves routes: the log, the route control, the membership and the shared peer port. */
 public final class RouteDaemon implements AutoCloseable {
@@ -95,6 +96,7 @@
             EventLog events,
             PrometheusRegistry registry) {
         RouteMetrics metrics = new RouteMetrics(registry);
+        TransportMetrics.register(registry, transport.counters());
         ControlStateMachine stateMachine = new ControlStateMachine();
         PublishedState publishedState = new PublishedState(stateMachine, stateMachine::state);
         ConsensusSettings consensusSettings = settings.consensusSettings();
--- a/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/PeerConnection.java
@@ -87,6 +87,11 @@
         return channel.isActive() && !closed.get();
     }
 
+    /** Whether the transport has closed the connection because no bytes arrived any more. */
+    public boolean isSilent() {
+        return Boolean.TRUE.equals(channel.attr(LivenessHandler.SILENT).get());
+    }
+
     /** Closes the connection; pending requests fail with CONNECTION_LOST. */
     public void close() {
         channel.close();
@@ -115,7 +120,9 @@
     }
 
     private void onFrame(Envelope frame) {
-        if (frame.getProtocolVersion() != Envelopes.PROTOCOL_VERSION) {
+        if (frame.equals(Envelopes.PROBE)) {
+            onProbe();
+        } else if (frame.getProtocolVersion() != Envelopes.PROTOCOL_VERSION) {
             onUnsupportedVersion(frame);
         } else if (frame.getAnswer()) {
             onAnswer(frame);
@@ -147,6 +154,13 @@
         }
     }
 
+    /** Answers unless other bytes are queued, which show this side to the peer as well. */
+    private void onProbe() {
+        if (channel.isWritable()) {
+            sendAnswer(Envelopes.PROBE.getRequestId(), Envelope.getDefaultInstance());
+        }
+    }
+
     private void onUnsupportedVersion(Envelope frame) {
         if (!frame.getAnswer() && frame.getRequestId() != 0) {
             sendAnswer(
--- a/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/ProxyServer.java
@@ -17,6 +17,7 @@
 import org.hornbeamspread.protocol.schema.RenewView;
 import org.hornbeamspread.transport.PeerServer;
 import org.hornbeamspread.transport.PeerTransport;
+import org.hornbeamspread.transport.TransportMetrics;
 
 /**
  * Wires up and runs the components of the proxy. Two dispatchers have a thread each: all state of request processing is
@@ -67,6 +68,7 @@
         this.transport = new PeerTransport(settings.networkThreads(), settings.translator());
         this.publisher = new ViewPublisher(clock);
         this.metrics = new ProxyMetrics(registry);
+        TransportMetrics.register(registry, transport.counters());
         this.clusterMonitor = new ClusterMonitor(requestDispatcher, transport, publisher, metrics, settings.region());
         this.heldDatabases = new HeldDatabases(
                 requestDispatcher,
