Voter substitution: one decision table, and a stop without a leader is not delayed

The needed vote of a departing member held up the substitution of a silent one for up to 6 s; the two are now separate rules of VoterSelection, with a table of cases. A member that stops while no leader is known does not wait for a hand-over, and follows a redirect when it announces its departure.

MemberReplacementTest also kills all members at each 5 ms of a substitution (420 moments): a leader follows and three members vote.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
@@ -126,13 +126,14 @@
 
     /**
      * Announces the departure of this process to the leader. Completes once this member has no vote, or after
-     * {@link #HANDOVER_TIMEOUT}; at once when no other member could take its vote. Called at most once, before
+     * {@link #HANDOVER_TIMEOUT}; at once without a leader or a member that could take its vote. Called at most once, before
      * {@link #close}.
      */
     public CompletableFuture<Void> handOverVote() {
         CompletableFuture<Void> handedOver = new CompletableFuture<>();
         boolean standbyExists = members.get().stream().anyMatch(member -> !member.getVoting());
-        if (!isSelfVoter() || !standbyExists) {
+        Optional<Endpoint> leader = leaderEndpoint();
+        if (!isSelfVoter() || !standbyExists || leader.isEmpty()) {
             handedOver.complete(null);
             return handedOver;
         }
@@ -148,12 +149,11 @@
         if (log.leadership().isLeader()) {
             join(departure);
         } else {
-            leaderEndpoint()
-                    .ifPresent(leader -> sendRequest(
-                            leader,
-                            Envelope.newBuilder().setJoinControl(departure).build(),
-                            "control_departure_announced",
-                            false));
+            sendRequest(
+                    leader.get(),
+                    Envelope.newBuilder().setJoinControl(departure).build(),
+                    "control_departure_announced",
+                    true);
         }
         return handedOver.completeOnTimeout(null, HANDOVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/VoterSelection.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/VoterSelection.java
@@ -29,7 +29,10 @@
 
     /** The change that brings the membership one voter closer to the policy. */
     Optional<Change> nextChange() {
-        return demotionAfterDiskLoss().or(this::promotion).or(this::substitution);
+        return demotionAfterDiskLoss()
+                .or(this::promotion)
+                .or(this::substitutionOfDeparting)
+                .or(this::substitutionOfSilent);
     }
 
     private Optional<Change> demotionAfterDiskLoss() {
@@ -50,21 +53,24 @@
                 .map(status -> change(status.responding(true), false));
     }
 
-    private Optional<Change> substitution() {
-        Optional<MemberStatus> departing = statuses.stream()
-                .filter(status -> status.member().voting() && status.departing())
-                .findFirst();
-        if (departing.isPresent() && statuses.stream().anyMatch(this::isStandby)) {
-            return departing.filter(this::isDispensable).map(status -> change(status.demoted(), false));
+    private Optional<Change> substitutionOfDeparting() {
+        if (statuses.stream().noneMatch(this::isStandby)) {
+            return Optional.empty();
         }
+        return statuses.stream()
+                .filter(status -> status.member().voting() && status.departing() && isDispensable(status))
+                .findFirst()
+                .map(status -> change(status.demoted(), false));
+    }
+
+    private Optional<Change> substitutionOfSilent() {
         if (statuses.stream().noneMatch(status -> isStandby(status) && !status.heldBack())) {
             return Optional.empty();
         }
         return statuses.stream()
-                .filter(status -> status.member().voting())
+                .filter(status -> status.member().voting() && isDispensable(status))
                 .filter(status -> status.silentMs() >= policy.substitutionSilenceMs())
                 .max(Comparator.comparingLong(MemberStatus::silentMs))
-                .filter(this::isDispensable)
                 .map(status -> change(status.demoted(), true));
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/consensus/MemberReplacementTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/MemberReplacementTest.java
@@ -53,6 +53,33 @@
                 .isEmpty();
     }
 
+    /** All are killed at any moment of the substitution and keep their disks; it begins later where a leader is elected first. */
+    @ParameterizedTest
+    @CsvSource({"true, 2300, 3900", "false, 1900, 2400"})
+    void aKillOfAllDuringASubstitutionLeavesALeaderAndThreeVoters(boolean leaderIsReplaced, int fromMs, int toMs) {
+        for (int strikeMs = fromMs; strikeMs < toMs; strikeMs += 5) {
+            ReplacementScenario scenario = new ReplacementScenario(3, 3, strikeMs);
+            String replaced = leaderIsReplaced
+                    ? scenario.leaderId()
+                    : scenario.followerIds().get(0);
+            scenario.lose(replaced);
+            scenario.run(PROCESS_START_MS);
+            String successor = scenario.startSuccessor();
+            scenario.run(strikeMs - PROCESS_START_MS);
+            scenario.killAll(List.of(), DOWNTIME_MS);
+            assertWithMessage("leader after %s ms", strikeMs)
+                    .that(scenario.hasLeaderWithin(ELECTION_BOUND_MS))
+                    .isTrue();
+            scenario.run(ELECTION_BOUND_MS);
+            assertWithMessage("voters after %s ms", strikeMs)
+                    .that(scenario.voterIds())
+                    .contains(successor);
+            assertWithMessage("voters after %s ms", strikeMs)
+                    .that(scenario.voterIds())
+                    .doesNotContain(replaced);
+        }
+    }
+
     /** Two of six members are replaced, of which five vote; they stop counting 6 s after their successors start. */
     @ParameterizedTest
     @CsvSource({"300, true", "300, false", "2000, true", "2000, false"})
