Ignore control members that have no usable endpoint

Callers saw no leader after one join request with a port out of range. The leader recorded the new member and then connected to it; the address's constructor threw on the consensus thread, which halts the log on that member. A member that applied the record halted in the same way once it led, also after a restart, since the record is in the log. A proxy that received the endpoint among control's peers stopped polling for good, as it did after a redirect that is not host:port.

The leader now refuses such a join request with INVALID_REQUEST.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/MemberDirectory.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/MemberDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import org.hornbeamspread.protocol.schema.ControlMember;
+import org.hornbeamspread.transport.AddressTranslator;
 
 /** The endpoints of the members by member id. Thread-safe. */
 final class MemberDirectory {
@@ -14,9 +15,11 @@
         update(members);
     }
 
-    /** Replaces the endpoints of the given members; a member without an endpoint keeps the current one. */
+    /** Replaces the endpoints of the given members; a member without an endpoint to connect to keeps the current one. */
     void update(List<ControlMember> updates) {
-        updates.stream().filter(ControlMember::hasPeer).forEach(member -> members.put(member.getMemberId(), member));
+        updates.stream()
+                .filter(member -> AddressTranslator.isConnectable(member.getPeer()))
+                .forEach(member -> members.put(member.getMemberId(), member));
     }
 
     Optional<ControlMember> find(String memberId) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
@@ -21,6 +21,7 @@
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.JoinControl;
 import org.hornbeamspread.runtime.EventLoopThread;
+import org.hornbeamspread.transport.AddressTranslator;
 import org.hornbeamspread.transport.PeerTransport;
 
 /**
@@ -99,7 +100,10 @@
         return this;
     }
 
-    /** Adds a member as a learner, or announces its departure. Fails with NOT_LEADER on a member that is not the leader. */
+    /**
+     * Adds a member as a learner, or announces its departure. Fails with NOT_LEADER on a member that is not the leader, and with
+     * INVALID_REQUEST if the new member has no name or no endpoint to connect to.
+     */
     public CompletableFuture<Void> join(JoinControl request) {
         if (!log.leadership().isLeader()) {
             return CompletableFuture.failedFuture(new FailureException(
@@ -110,6 +114,11 @@
             log.announceDeparture(request.getMemberId());
             return CompletableFuture.completedFuture(null);
         }
+        if (request.getMemberId().isEmpty() || !AddressTranslator.isConnectable(request.getPeer())) {
+            return CompletableFuture.failedFuture(new FailureException(
+                    FailureType.INVALID_REQUEST,
+                    "unusable member " + request.getMemberId() + " " + AddressTranslator.format(request.getPeer())));
+        }
         List<ControlMember> currentMembers = members.get();
         if (currentMembers.stream().anyMatch(member -> member.getMemberId().equals(request.getMemberId()))) {
             return CompletableFuture.completedFuture(null);
@@ -268,11 +277,7 @@
                             && failure.type() == FailureType.NOT_LEADER
                             && !failure.detail().isEmpty();
                     if (redirected && followRedirect) {
-                        sendRequest(
-                                org.hornbeamspread.transport.AddressTranslator.parse(failure.detail()),
-                                request,
-                                event,
-                                false);
+                        sendRequest(AddressTranslator.parse(failure.detail()), request, event, false);
                     }
                 });
     }
--- a/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
@@ -33,6 +33,7 @@
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
+import org.hornbeamspread.protocol.schema.JoinControl;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
@@ -45,6 +46,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * A configuration must be accepted at every member and survive the loss of one, and proxies must receive announcements
@@ -169,6 +172,43 @@
         awaitMembers("c1", List.of("c1", "c2", "c4"), 4);
     }
 
+    /** A join request with a port out of range was recorded, and halted each leader that connected to the new member. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 65_536, Integer.MAX_VALUE})
+    void joinRequestWithAnUnusablePortIsRefused(int port) {
+        replaceRoutes("c1", configurationDocument(7, "seven"));
+        JoinControl join = JoinControl.newBuilder()
+                .setMemberId("c4")
+                .setPeer(Endpoint.newBuilder().setHost("127.0.0.1").setPort(port))
+                .build();
+
+        assertThat(joinOutcome(join)).isEqualTo(FailureType.INVALID_REQUEST);
+        assertThat(replaceRoutes("c2", configurationDocument(8, "eight"))).isEqualTo(8);
+        assertThat(daemons.get("c1").members()).hasSize(3);
+    }
+
+    /** The failure with which the leader refuses a join request. */
+    private FailureType joinOutcome(JoinControl join) {
+        int[] attempts = {0};
+        return retryUntilSuccess(() -> transport
+                .connect(
+                        members.get(attempts[0]++ % members.size()).getPeer(),
+                        ATTEMPT_TIMEOUT,
+                        (connection, request, replyCallback) -> connection.close())
+                .thenCompose(connection -> connection
+                        .request(Envelope.newBuilder().setJoinControl(join).build(), ATTEMPT_TIMEOUT)
+                        .whenComplete((response, error) -> connection.close()))
+                .handle((response, error) -> {
+                    FailureType type = error == null
+                            ? FailureType.UNKNOWN_METHOD
+                            : FailureException.of(error).type();
+                    if (type == FailureType.NOT_LEADER) {
+                        throw new FailureException(type, "redirected");
+                    }
+                    return type;
+                }));
+    }
+
     private void awaitMembers(String id, List<String> voterIds, int memberCount) {
         retryUntilSuccess(() -> {
             List<ControlMember> current = daemons.get(id).members();
--- a/protocol/src/main/java/org/hornbeamspread/transport/AddressTranslator.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/AddressTranslator.java
@@ -7,6 +7,9 @@
 
 /** Maps announced addresses to the addresses to connect to, for use behind network address translation or a test link. */
 public interface AddressTranslator {
+    /** The highest TCP port. */
+    int MAX_PORT = 65_535;
+
     /** The address to connect to. */
     Endpoint translate(Endpoint announced);
 
@@ -26,12 +29,17 @@
         return endpoint.getHost() + ":" + endpoint.getPort();
     }
 
+    /** Whether an endpoint names a host and a port to connect to. */
+    static boolean isConnectable(Endpoint endpoint) {
+        return !endpoint.getHost().isEmpty() && endpoint.getPort() > 0 && endpoint.getPort() <= MAX_PORT;
+    }
+
     /** Parses host:port. Fails with INVALID_SETTING. */
     static Endpoint parse(String hostAndPort) {
         int colon = hostAndPort.lastIndexOf(':');
         try {
             int port = Integer.parseInt(hostAndPort.substring(colon + 1));
-            if (colon > 0 && port >= 0 && port <= 65_535) {
+            if (colon > 0 && port >= 0 && port <= MAX_PORT) {
                 return Endpoint.newBuilder()
                         .setHost(hostAndPort.substring(0, colon))
                         .setPort(port)
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -241,7 +241,9 @@
                 ? proxyCountEstimate.observe(update.getProxies(), clock.millis())
                 : proxyCountEstimate.current(clock.millis());
         if (update.getChanged()) {
-            controlPeers = update.getControlPeersList();
+            controlPeers = update.getControlPeersList().stream()
+                    .filter(AddressTranslator::isConnectable)
+                    .toList();
             onViewChanged(update, proxyCount);
         } else if (newConfiguration || proxyCount != engine.view().proxyCount()) {
             SystemView view = engine.view();
@@ -287,19 +289,17 @@
     }
 
     private void onFailure(Endpoint target, FailureException failure) {
-        boolean redirected = failure.type() == FailureType.NOT_LEADER
-                && !failure.detail().isEmpty()
-                && failure.detail().contains(":");
+        Optional<Endpoint> redirect = redirect(failure);
         engine.setControlReachable(false);
         connection.ifPresent(PeerConnection::close);
         connection = Optional.empty();
         Optional<Endpoint> previous = leader;
-        leader = redirected ? Optional.of(AddressTranslator.parse(failure.detail())) : Optional.empty();
+        leader = redirect;
         if (controlReachable && failure.type() != FailureType.NOT_LEADER) {
             controlReachable = false;
             events.record("control_lost", "peer", target.getHost(), "cause", failure.getMessage());
         }
-        if (redirected && previous.isEmpty()) {
+        if (redirect.isPresent() && previous.isEmpty()) {
             poll();
             return;
         }
@@ -307,4 +307,16 @@
         long maxBackoffMs = engine.view().isLoaded() ? MAX_BACKOFF_MS : MAX_UNLOADED_BACKOFF_MS;
         backoffMs = Math.min(maxBackoffMs, backoffMs * 2);
     }
+
+    /** The leader that a refusal names; empty when it names none that can be connected to. */
+    private static Optional<Endpoint> redirect(FailureException failure) {
+        if (failure.type() != FailureType.NOT_LEADER) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(AddressTranslator.parse(failure.detail())).filter(AddressTranslator::isConnectable);
+        } catch (FailureException e) {
+            return Optional.empty();
+        }
+    }
 }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.hornbeamspread.core.misc.EventLog;
+import org.hornbeamspread.core.misc.FailureException;
+import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.protocol.schema.Endpoint;
@@ -21,10 +23,13 @@
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
+import org.hornbeamspread.transport.Envelopes;
 import org.hornbeamspread.transport.PeerServer;
 import org.hornbeamspread.transport.PeerTransport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A watch that stops after one bad message leaves its proxy with an old view for as long as the process runs. */
 final class SystemWatchTest {
@@ -108,6 +113,34 @@
         assertThat(instanceIds()).containsExactly("a", "c").inOrder();
     }
 
+    /** A control member with a port out of range ended the polling of each proxy that tried to connect to it. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 65_536})
+    void watchContinuesAfterAnUpdateThatNamesAnUnusableControlMember(int port) throws InterruptedException {
+        start();
+        nextWatch()
+                .answer(update(1)
+                        .addControlPeers(
+                                Endpoint.newBuilder().setHost("127.0.0.1").setPort(port)));
+
+        for (int i = 0; i < 4; i++) {
+            nextWatch().answer.accept(notLeader(""));
+        }
+        nextWatch();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1:65536", "127.0.0.1:", "leader:control-1", ":1"})
+    void watchContinuesAfterAMalformedRedirect(String redirect) throws InterruptedException {
+        start();
+        nextWatch().answer.accept(notLeader(redirect));
+        nextWatch();
+    }
+
+    private static Envelope notLeader(String detail) {
+        return Envelopes.failureEnvelope(new FailureException(FailureType.NOT_LEADER, detail));
+    }
+
     private void start() {
         Endpoint endpoint = Endpoint.newBuilder()
                 .setHost("127.0.0.1")
