A departing leader announces its departure to its successor

A leader that departs gives up its vote and steps down. The departure was known to it alone, and its successor, short of a voter, chose among the standbys by name: the departing process voted again until it was silent for 2 s.

The departure is announced to each leader that follows, until the process ends.

Evidence: the test now names who leads. Before, the case of the leader ended in a TimeoutException after 60 s; both cases pass.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
@@ -134,37 +134,47 @@
     }
 
     /**
-     * Announces the departure of this process to the leader. Completes once this member has no vote, or after
-     * {@link #HANDOVER_TIMEOUT}; at once without a leader or a member that could take its vote. Called at most once, before
-     * {@link #close}.
+     * Announces the departure of this process to the leader, and to each leader that follows: one that departs itself steps down as
+     * soon as it has no vote, and its successor would give the vote back. Completes once this member has no vote and another
+     * leads, or after {@link #HANDOVER_TIMEOUT}; at once without a leader or a member that could take its vote. Called at
+     * most once, before {@link #close}.
      */
     public CompletableFuture<Void> handOverVote() {
         CompletableFuture<Void> handedOver = new CompletableFuture<>();
         boolean standbyExists = members.get().stream().anyMatch(member -> !member.getVoting());
-        Optional<Endpoint> leader = leaderEndpoint();
-        if (!isSelfVoter() || !standbyExists || leader.isEmpty()) {
+        if (!isSelfVoter() || !standbyExists || leaderEndpoint().isEmpty()) {
             handedOver.complete(null);
             return handedOver;
         }
         Runnable check = () -> {
-            if (!isSelfVoter() && !log.leadership().isLeader()) {
+            if (!isSelfVoter()
+                    && leaderEndpoint().isPresent()
+                    && !log.leadership().isLeader()) {
                 handedOver.complete(null);
             }
         };
         log.onMembersChange(changed -> check.run());
-        log.onLeadershipChange(changed -> check.run());
+        log.onLeadershipChange(changed -> {
+            announceDeparture();
+            check.run();
+        });
+        announceDeparture();
+        return handedOver.completeOnTimeout(null, HANDOVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void announceDeparture() {
         JoinControl departure =
                 JoinControl.newBuilder().setMemberId(self.getMemberId()).build();
         if (log.leadership().isLeader()) {
             join(departure);
         } else {
-            sendRequest(
-                    leader.get(),
-                    Envelope.newBuilder().setJoinControl(departure).build(),
-                    "control_departure_announced",
-                    true);
+            leaderEndpoint()
+                    .ifPresent(leader -> sendRequest(
+                            leader,
+                            Envelope.newBuilder().setJoinControl(departure).build(),
+                            "control_departure_announced",
+                            true));
         }
-        return handedOver.completeOnTimeout(null, HANDOVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
@@ -149,6 +149,11 @@
         return log.members();
     }
 
+    /** Whether this member leads the log. */
+    public boolean isLeader() {
+        return log.leadership().isLeader();
+    }
+
     /**
      * Hands this member's vote over to a standby, if there is one, before the process ends. Blocks for at most 1.5 s, and
      * not at all without a standby.
--- a/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
@@ -163,13 +163,22 @@
         assertThat(readRoutes("c2").getSource().toStringUtf8()).isEqualTo("seven");
     }
 
-    @Test
-    void aDepartingMemberHandsItsVoteOverToAStandby() {
+    /** A leader that departs steps down, and its successor gave the vote back to it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aDepartingMemberHandsItsVoteOverToAStandby(boolean leads) {
         replaceRoutes("c1", configurationDocument(7, "seven"));
+        String departing = daemons.keySet().stream()
+                .filter(id -> daemons.get(id).isLeader() == leads)
+                .findFirst()
+                .orElseThrow();
+        List<String> remaining = List.of("c1", "c2", "c3", "c4").stream()
+                .filter(id -> !id.equals(departing))
+                .toList();
         start(member("c4"), members, false);
-        awaitMembers("c3", List.of("c1", "c2", "c3"), 4);
-        daemons.get("c3").handOverVote();
-        awaitMembers("c1", List.of("c1", "c2", "c4"), 4);
+        awaitMembers(departing, List.of("c1", "c2", "c3"), 4);
+        daemons.get(departing).handOverVote();
+        awaitMembers(remaining.get(0), remaining, 4);
     }
 
     /** A join request with a port out of range was recorded, and halted each leader that connected to the new member. */
