A test for the loss of a second disk behind silent connections

Once another disk is lost, one copy of three is left and no member leads again.

The deletion of a member's files moved from ConsensusServiceTest to LogCluster.

--- a/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/ConsensusServiceTest.java
@@ -12,7 +12,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.stream.Stream;
 import org.hornbeamspread.control.CommandResult;
 import org.hornbeamspread.control.storage.WriteInterceptor;
 import org.hornbeamspread.core.misc.FailureException;
@@ -106,7 +105,7 @@
             String wipedMember = leader.equals("c3") ? "c2" : "c3";
             long before = incarnation(cluster, leader, wipedMember);
             cluster.stop(wipedMember);
-            deleteAll(cluster.directory(wipedMember));
+            cluster.deleteDisk(wipedMember);
             cluster.start(wipedMember);
             LogCluster.await(cluster.membersMatching(
                     leader,
@@ -215,14 +214,6 @@
                 .getIncarnation();
     }
 
-    private static void deleteAll(Path directory) throws IOException {
-        try (Stream<Path> files = Files.list(directory)) {
-            for (Path file : files.toList()) {
-                Files.delete(file);
-            }
-        }
-    }
-
     private static CommandResult propose(LogCluster cluster, String memberId, String databaseId) {
         return LogCluster.await(cluster.log(memberId).propose(departure(databaseId)));
     }
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -1,6 +1,8 @@
 package org.hornbeamspread.control.consensus;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -13,6 +15,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.hornbeamspread.control.state.ControlStateMachine;
 import org.hornbeamspread.control.storage.WriteInterceptor;
 import org.hornbeamspread.protocol.schema.ControlMember;
@@ -145,6 +148,15 @@
         return directory.resolve(memberId);
     }
 
+    /** Deletes the files of a stopped member. */
+    void deleteDisk(String memberId) throws IOException {
+        try (Stream<Path> files = Files.list(directory(memberId))) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
     static <T> T await(CompletableFuture<T> future) {
         return future.orTimeout(TIMEOUT.toSeconds(), TimeUnit.SECONDS).join();
     }
--- a/control/src/test/java/org/hornbeamspread/control/consensus/SilentConnectionsTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/SilentConnectionsTest.java
@@ -6,9 +6,11 @@
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -36,6 +38,9 @@
     private static final long SLOW_LINK_BYTES_PER_SECOND = 21_000_000 / 8;
 
     private static final int SNAPSHOT_BYTES = 4 << 20;
+    /** {@code catch_up_s} of the small sites: the time after which a member that lost its disk no longer counts as lost. */
+    private static final Duration CATCH_UP = Duration.ofSeconds(4);
+
     private static final long BUDGET_BYTES = 1 << 20;
     private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
 
@@ -70,6 +75,35 @@
         }
     }
 
+    /**
+     * The leader's connection to a member that had lost its disk stayed silent, so that the member was not readmitted, and the loss of
+     * the next disk left one copy of three (soak seed 5105).
+     */
+    @Test
+    void aLeaderFollowsAfterASecondDiskIsLostBehindSilentConnections() throws IOException, InterruptedException {
+        try (LogCluster cluster = new LogCluster(directory, 3, 1_000, BUDGET_BYTES, this::relayed)) {
+            cluster.startAll();
+            String leader = cluster.awaitLeader();
+            assertThat(awaitProposal(cluster, change("before"), LogCluster.TIMEOUT))
+                    .isTrue();
+            List<String> followers = cluster.runningMembers().stream()
+                    .filter(id -> !id.equals(leader))
+                    .toList();
+            cluster.stop(followers.get(0));
+            cluster.deleteDisk(followers.get(0));
+            relays.values().forEach(relay -> relay.silence(true, true));
+            cluster.start(followers.get(0));
+            Thread.sleep(CATCH_UP.toMillis());
+            List<String> members = cluster.runningMembers();
+            members.forEach(cluster::stop);
+            cluster.deleteDisk(followers.get(1));
+            members.forEach(cluster::start);
+            assertWithMessage("every member applies a change of a leader within %s", RECOVERY)
+                    .that(awaitProposal(cluster, change("after"), RECOVERY))
+                    .isTrue();
+        }
+    }
+
     /**
      * A connection that carries a large snapshot slowly is not silent, and the heartbeats of a leader that needs the receiver for its
      * majority do not wait behind the snapshot.
