--- a/protocol/src/main/java/org/hornbeamspread/transport/TransportMetrics.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/TransportMetrics.java
@@ -14,7 +14,7 @@
         GaugeWithCallback.builder()
                 .name("hornbeamspread_transport_accepted_connections")
                 .help("Accepted connections of other processes that are open")
-                .callback(callback -> callback.call(counters.acceptedConnections()))
+                .callback(callback -> callback.call((double) counters.acceptedConnections()))
                 .register(registry);
         register(
                 registry,
@@ -37,7 +37,7 @@
         CounterWithCallback.builder()
                 .name(name)
                 .help(help)
-                .callback(callback -> callback.call(value.getAsLong()))
+                .callback(callback -> callback.call((double) value.getAsLong()))
                 .register(registry);
     }
 }
