--- a/protocol/src/test/java/org/hornbeamspread/http/RpcClientTest.java
+++ b/protocol/src/test/java/org/hornbeamspread/http/RpcClientTest.java
@@ -11,12 +11,15 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.ExecuteRequest;
 import org.hornbeamspread.protocol.schema.ExecuteResponse;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -24,11 +27,19 @@
 final class RpcClientTest {
     private static final int TEST_TIMEOUT_S = 20;
 
+    private final ExecutorService serverThread = Executors.newSingleThreadExecutor();
+
+    @AfterEach
+    void close() {
+        serverThread.shutdownNow();
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"})
     void callToASilentServerFailsWithATimeout(String response) throws IOException {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            CompletableFuture<Integer> closedByClient = CompletableFuture.supplyAsync(() -> answer(server, response));
+            CompletableFuture<Integer> closedByClient =
+                    CompletableFuture.supplyAsync(() -> answer(server, response), serverThread);
             CompletableFuture<ExecuteResponse> call = new RpcClient()
                     .call(
                             Endpoint.newBuilder()
