A departing member repeats its announcement until its process ends

The departing leader announced itself to its successor as soon as it knew of it, and the successor, which had not committed a record of its term yet, answered NOT_LEADER. The announcement was lost, and the departing member was given its vote back.

It is repeated at each tick of the membership, 500 ms, while the process runs.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ControlMembership.java
@@ -65,6 +65,9 @@
     private int nextSeed;
     private boolean removalPending;
 
+    /** Whether this process has begun to end, which is announced to the leader until it has. */
+    private volatile boolean departing;
+
     /**
      * Creates the membership without starting its thread; see {@link #start}.
      *
@@ -154,10 +157,8 @@
             }
         };
         log.onMembersChange(changed -> check.run());
-        log.onLeadershipChange(changed -> {
-            announceDeparture();
-            check.run();
-        });
+        log.onLeadershipChange(changed -> check.run());
+        departing = true;
         announceDeparture();
         return handedOver.completeOnTimeout(null, HANDOVER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
@@ -212,6 +213,9 @@
     }
 
     private void tick() {
+        if (departing) {
+            announceDeparture();
+        }
         if (log.leadership().isLeader()) {
             leaderlessTicks = 0;
             removeLostMember();
