Settings of the control log: one copy for the two variants; the idle timeout's comment says what it does

Read-through of the change; behaviour is the same. joining() and withVoterPolicy() listed all ten fields each.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
@@ -79,21 +79,15 @@
 
     /** The same settings for a member that joins a cluster which other members bootstrap or have bootstrapped. */
     public ConsensusSettings joining() {
-        return new ConsensusSettings(
-                memberId,
-                clusterId,
-                members,
-                dataDirectory,
-                electionTimeout,
-                heartbeatInterval,
-                snapshotIntervalRecords,
-                budgetBytes,
-                false,
-                voterPolicy);
+        return with(false, voterPolicy);
     }
 
     /** The same settings with another number of voters. */
     public ConsensusSettings withVoterPolicy(VoterPolicy policy) {
+        return with(mayBootstrap, policy);
+    }
+
+    private ConsensusSettings with(boolean newMayBootstrap, VoterPolicy newVoterPolicy) {
         return new ConsensusSettings(
                 memberId,
                 clusterId,
@@ -103,7 +97,7 @@
                 heartbeatInterval,
                 snapshotIntervalRecords,
                 budgetBytes,
-                mayBootstrap,
-                policy);
+                newMayBootstrap,
+                newVoterPolicy);
     }
 }
--- a/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
+++ b/protocol/src/main/java/org/hornbeamspread/http/RpcServer.java
@@ -30,7 +30,7 @@
 public final class RpcServer implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 4 << 20;
 
-    /** Longer than any call. A connection whose peer left without a word stayed open for good. */
+    /** Longer than any call. Closes a connection whose peer has gone without closing it. */
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
     private static final int OK = 200;
