--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -152,8 +152,10 @@
      * @param members current members
      * @param copies how many logs may hold an acknowledged commit: those of members, and lost ones
      * @param unreliablePauseIds members that may receive although they are paused
+     * @param primaryReachable whether the primary was reached recently, so that its demotion is awaited
      */
-    Optional<String> candidate(List<MemberView> members, long copies, Set<String> unreliablePauseIds) {
+    Optional<String> candidate(
+            List<MemberView> members, long copies, Set<String> unreliablePauseIds, boolean primaryReachable) {
         List<MemberView> replicas = members.stream()
                 .filter(member -> isRespondingReplica(member.instanceId()))
                 .toList();
@@ -175,7 +177,8 @@
             return Optional.empty();
         }
         long waitedMs = elapsedMs();
-        boolean betterCandidatePossible = isDemoted(mostAdvanced.get().instanceId()) || isPrimaryResponding(members);
+        boolean demotionPossible = !demotedResponding && (primaryReachable || isPrimaryResponding(members));
+        boolean betterCandidatePossible = isDemoted(mostAdvanced.get().instanceId()) || demotionPossible;
         boolean keepWaiting = (betterCandidatePossible && waitedMs <= LIVE_REPLACEMENT_TIMEOUT_MS)
                 || (differsFromEarlierCandidate(members, mostAdvanced.get())
                         && waitedMs <= timings.promotionTimeoutMs());
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -79,6 +79,9 @@
     /** Whether the current promotion replaces a working primary. */
     private boolean replacesLivePrimary;
 
+    /** Whether this leader had a recent proof of the primary when it raised the token. */
+    private boolean reachableAtTokenRaise;
+
     private boolean logCommitPending;
     private boolean tokenCommitPending;
     private boolean promotionRequested;
@@ -300,7 +303,9 @@
         if ((lost || replacesLivePrimary)
                 && hasEligibleReplica
                 && snapshot.members().size() > 1) {
-            return raiseToken(snapshot);
+            List<SyncFailoverEffect> effects = raiseToken(snapshot);
+            reachableAtTokenRaise = !lost && hasDirectProof(snapshot, timings.refusedDetectionMs());
+            return effects;
         }
         List<SyncFailoverEffect> effects = new ArrayList<>();
         effects.addAll(resumeReplicas(snapshot, nowMs));
@@ -385,7 +390,26 @@
         return fencing.candidate(
                 snapshot.members(),
                 snapshot.members().size() - exempt + snapshot.lostCopies().size(),
-                pauses.unreliableIds(snapshot));
+                pauses.unreliableIds(snapshot),
+                isPrimaryReachable(snapshot));
+    }
+
+    /**
+     * Whether control reaches the old primary, although it has not responded under the current token yet. Only its demotion shows
+     * that nothing more is acknowledged: a replica that is not registered yet may receive, and none of the pauses stops it.
+     */
+    private boolean isPrimaryReachable(GroupSnapshot snapshot) {
+        boolean announcedSince = primary(snapshot)
+                .filter(member -> member.silentMs() < fencing.elapsedMs())
+                .isPresent();
+        return reachableAtTokenRaise || announcedSince || hasDirectProof(snapshot, fencing.elapsedMs());
+    }
+
+    /** Whether this leader itself obtained a proof of the primary that was requested less than some time ago. */
+    private boolean hasDirectProof(GroupSnapshot snapshot, long maxAgeMs) {
+        return snapshot.primaryProof()
+                .filter(proof -> proof.requestedAtMs() > clock.millis() - maxAgeMs)
+                .isPresent();
     }
 
     /**
@@ -440,6 +464,7 @@
             rejectedCandidate.ifPresent(unsettled::remove);
         }
         rejectedCandidate = Optional.empty();
+        reachableAtTokenRaise = false;
         fencing.reset(unsettled);
         promotionResult = Optional.empty();
         promotionRequested = false;
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -35,7 +35,10 @@
 final class SyncGroupFailoverTest {
     private static final SyncFailoverTimings TIMINGS =
             new SyncFailoverTimings(1_000, 500, 600, 3_000, 2_000, 300, 250, 4_000, 12_000, 1_000);
-    private static final MemberView PRIMARY = new MemberView("p", false, true, 100, false, 0);
+
+    /** A primary that does not announce itself any more once it is lost. */
+    private static final MemberView PRIMARY = new MemberView("p", false, true, 3_500, false, 0);
+
     private static final MemberView A = new MemberView("a", false, false, 100, false, 0);
     private static final MemberView B = new MemberView("b", false, false, 100, false, 0);
     private static final List<PendingResume> RESUME_OF_A = List.of(new PendingResume("a", 0, 1));
@@ -445,6 +448,28 @@
         assertThat(step(0)).contains(new Resume("a"));
     }
 
+    /**
+     * Another replica was promoted before a draining primary had answered; a replica that was not registered yet had acknowledged its
+     * commits meanwhile (review case 8). A primary that control does not reach is not waited for.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 100, 1500, false", "true, 100, 1501, true", "false, 100, 0, true", "false, 0, 1500, false"})
+    void candidateIsChosenOnlyAfterTheDemotionOfAPrimaryThatControlReaches(
+            boolean directProof, long silentMs, long waitedMs, boolean expectedChoice) {
+        members = List.of(new MemberView("p", true, true, 0, false, 0), A, B);
+        proof = directProof ? Optional.of(new PrimaryProof(new LogPosition(3, 59), clock.millis())) : Optional.empty();
+        assertThat(step(directProof ? 0 : 9_000)).containsExactly(new RaiseToken(0));
+        failover.onLogCommitEnded(true);
+        token = 1;
+        concluded = false;
+        members = List.of(new MemberView("p", true, true, silentMs, false, 0), A, B);
+        advance(waitedMs);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(hasChoice(step(9_000))).isEqualTo(expectedChoice);
+    }
+
     @Test
     void rejectedPromotionIsRestartedUnderAHigherToken() {
         chooseB();
