--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaPauses.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaPauses.java
@@ -42,6 +42,9 @@
      */
     static final long REPLACED_LEADER_LIMIT_MS = LATE_EXECUTION_LIMIT_MS + 8_000;
 
+    /** A resume whose commit took longer than this is not sent, since another leader may have followed. */
+    static final long MAX_COMMIT_AGE_MS = 1_000;
+
     /** Interval of the status requests that detect a pause that was carried out late. */
     private static final long LATE_PAUSE_CHECK_INTERVAL_MS = 3_000;
 
@@ -103,6 +106,11 @@
         resumes.stream().map(ownResumes::get).filter(Objects::nonNull).forEach(own -> own.onCommitEnded(committed));
     }
 
+    /** Drops the resumes that are not sent yet. The token under which they were committed is no longer the latest. */
+    void dropUnsentResumes() {
+        ownResumes.values().forEach(OwnResume::drop);
+    }
+
     /**
      * Handles the end of a sent resume.
      *
@@ -236,12 +244,17 @@
         long lastSentAtMs;
 
         void onCommitEnded(boolean committed) {
-            sendable = true;
+            sendable = commitPending && committed;
+            commitPending = false;
+        }
+
+        void drop() {
             commitPending = false;
+            sendable = false;
         }
 
         boolean isSendable(long nowMs) {
-            return sendable;
+            return sendable && nowMs - commitRequestedAtMs <= MAX_COMMIT_AGE_MS;
         }
 
         boolean isInUse(long nowMs) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -456,6 +456,7 @@
 
     private List<SyncFailoverEffect> raiseToken(GroupSnapshot snapshot) {
         commandsSentAtMs.clear();
+        pauses.dropUnsentResumes();
         earlierPromotionPending = snapshot.token() > 0 && !snapshot.concluded();
         Set<String> unsettled = new HashSet<>();
         if (earlierPromotionPending) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -413,6 +413,34 @@
         assertThat(hasChoice(step(9_000))).isTrue();
     }
 
+    /**
+     * A leader that had been replaced while it stood still resumed a replica that its successor had paused (review case 9). A resume
+     * is sent only after a commit that succeeds for the leader alone, under the token of the latest promotion, and soon after it.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 900, true", "false, 900, false", "true, 1100, false"})
+    void resumeIsSentOnlyAfterItsCommit(boolean committed, long commitMs, boolean expectedResume) {
+        failover.onStatus("a", replica(1, 1, 2));
+        assertThat(step(0)).containsExactly(new CommitResumes(0, RESUME_OF_A));
+        advance(commitMs);
+        failover.onResumesCommitEnded(RESUME_OF_A, committed);
+
+        assertThat(step(0).contains(new Resume("a"))).isEqualTo(expectedResume);
+    }
+
+    @Test
+    void committedResumeIsNotSentOnceAPromotionBegins() {
+        failover.onStatus("a", replica(1, 1, 2));
+        assertThat(step(0)).containsExactly(new CommitResumes(0, RESUME_OF_A));
+        raiseToken();
+        failover.onResumesCommitEnded(RESUME_OF_A, true);
+        pendingResumes = RESUME_OF_A;
+        concluded = true;
+        chosenId = Optional.of("p");
+
+        assertThat(step(0)).doesNotContain(new Resume("a"));
+    }
+
     /** The response to a resume ends it only if no earlier one is without a response. */
     @ParameterizedTest
     @CsvSource({"true, true", "false, false"})
