A proof confirms only the instance that it refers to

Cause: the failover kept the age of the latest proof without its instance. While two members announced themselves as the primary, the proof of one confirmed the other, which was kept and promoted under the new token, and rolled the first one back.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -156,6 +156,7 @@
                 List.of(),
                 List.of(),
                 Optional.empty(),
+                Optional.empty(),
                 0,
                 0,
                 false,
@@ -253,6 +254,7 @@
                             .map(RouteMessages::pendingResume)
                             .toList(),
                     probe.latestProof(),
+                    primaryId,
                     proofAgeMs,
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
                     probe.isRefused(),
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -90,6 +90,9 @@
     /** The time since which the group has had no proof of a working primary. */
     private long lastPrimaryProofAtMs;
 
+    /** The instance that the latest proof refers to; empty before the first. */
+    private Optional<String> provenPrimaryId = Optional.empty();
+
     /** The token of the latest promotion that this leader observed as concluded; -1 before the first. */
     private long concludedToken = -1;
 
@@ -139,6 +142,7 @@
      * @param departedCopies the lost copies that no later incarnation has replaced, so that their process may not have ended yet
      * @param pendingResumes resumes of any leader in the log that have not ended
      * @param primaryProof the latest proof that this leader obtained itself
+     * @param observedPrimaryId the instance that the proof, its age and the stalled writes refer to
      * @param primaryProofAgeMs time since any observer last had proof that the primary works
      * @param stalledWriteMs how long writes have waited at the primary while none succeeded; 0 for none
      * @param connectionRefused whether the primary's address refuses connections
@@ -154,6 +158,7 @@
             List<LostCopy> departedCopies,
             List<PendingResume> pendingResumes,
             Optional<PrimaryProof> primaryProof,
+            Optional<String> observedPrimaryId,
             long primaryProofAgeMs,
             long stalledWriteMs,
             boolean connectionRefused,
@@ -171,7 +176,10 @@
     /** Decides the next effects. Called at each tick and after each report. */
     public List<SyncFailoverEffect> step(GroupSnapshot snapshot) {
         long nowMs = clock.millis();
-        lastPrimaryProofAtMs = Math.max(lastPrimaryProofAtMs, nowMs - snapshot.primaryProofAgeMs());
+        if (nowMs - snapshot.primaryProofAgeMs() > lastPrimaryProofAtMs) {
+            lastPrimaryProofAtMs = nowMs - snapshot.primaryProofAgeMs();
+            provenPrimaryId = snapshot.observedPrimaryId();
+        }
         coverage.updateLosses(snapshot);
         fencing.updateMembers(snapshot.members(), coverage.possiblyRunningCopies(snapshot));
         pauses.retainMembers(snapshot.members());
@@ -479,8 +487,8 @@
         Optional<MemberView> primary = primary(snapshot);
         boolean replacementTimedOut = fencing.elapsedMs() > FencingState.LIVE_REPLACEMENT_TIMEOUT_MS;
         if ((!replacesLivePrimary || replacementTimedOut)
-                && isPrimaryConfirmed(snapshot, nowMs)
-                && primary.isPresent()) {
+                && primary.isPresent()
+                && isPrimaryConfirmed(snapshot, primary.get(), nowMs)) {
             logCommitPending = true;
             Choose keepPrimary = new Choose(ownToken, primary.get().instanceId());
             if (earlierPromotionPending) {
@@ -498,8 +506,9 @@
         return fencingCommands(snapshot, nowMs);
     }
 
-    private boolean isPrimaryConfirmed(GroupSnapshot snapshot, long nowMs) {
-        boolean recentlyProven = nowMs - lastPrimaryProofAtMs < timings.commandRetryIntervalMs()
+    private boolean isPrimaryConfirmed(GroupSnapshot snapshot, MemberView primary, long nowMs) {
+        boolean recentlyProven = provenPrimaryId.equals(Optional.of(primary.instanceId()))
+                && nowMs - lastPrimaryProofAtMs < timings.commandRetryIntervalMs()
                 && lastPrimaryProofAtMs > nowMs - fencing.elapsedMs();
         return recentlyProven && fencing.demotedId().isEmpty() && !promotionRequested && snapshot.stalledWriteMs() == 0;
     }
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -373,6 +373,7 @@
                 lostCopies.stream().filter(copy -> !registry.hasSuccessor(copy)).toList(),
                 List.copyOf(pendingResumes),
                 reachablePrimary.map(database -> new PrimaryProof(database.position(), clock.millis())),
+                reachablePrimary.map(database -> database.id),
                 reachablePrimary.isPresent() ? 0 : Long.MAX_VALUE / 4,
                 0,
                 false,
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -53,6 +53,7 @@
     private List<LostCopy> departedCopies = List.of();
     private List<PendingResume> pendingResumes = List.of();
     private Optional<PrimaryProof> proof = Optional.empty();
+    private Optional<String> observedPrimaryId = Optional.of("p");
 
     /** Answers the status request that a new leader sends to each replica once, to detect paused replicas. */
     @BeforeEach
@@ -498,6 +499,17 @@
         assertThat(hasChoice(step(9_000))).isEqualTo(expectedChoice);
     }
 
+    /** The proof of one instance confirmed another one that still announced itself as the primary (the same histories, seed 1984). */
+    @Test
+    void proofOfAnotherInstanceDoesNotConfirmThePrimary() {
+        observedPrimaryId = Optional.of("a");
+        raiseToken();
+        step(1_100);
+        advance(500);
+
+        assertThat(hasChoice(step(10))).isFalse();
+    }
+
     @Test
     void rejectedPromotionIsRestartedUnderAHigherToken() {
         chooseB();
@@ -830,6 +842,7 @@
                 departedCopies,
                 pendingResumes,
                 proof,
+                observedPrimaryId,
                 proofAgeMs,
                 stalledWriteMs,
                 connectionRefused,
