An old primary that responds during a takeover is demoted

Cause: while an accepted promotion was about to take effect, replicas were paused again, but an old primary that came back into reach was left to lead, and acknowledged what a database that joined meanwhile received.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -583,8 +583,8 @@
     }
 
     /**
-     * Pauses replicas that receive while a promotion may be about to take effect. A replica that joined or restarted after the
-     * candidate was chosen would otherwise acknowledge commits that the candidate lacks, for a primary that control cannot reach.
+     * Pauses replicas that receive while a promotion may be about to take effect, and demotes the old primary if it responds. A replica
+     * that joined or restarted after the candidate was chosen would otherwise acknowledge commits that the candidate lacks.
      */
     private List<SyncFailoverEffect> keepFenced(GroupSnapshot snapshot, long nowMs) {
         if (snapshot.chosenId().filter(id -> isCurrentPrimary(snapshot, id)).isPresent()) {
@@ -593,13 +593,15 @@
         List<SyncFailoverEffect> effects = new ArrayList<>();
         for (MemberView member : snapshot.members()) {
             String id = member.instanceId();
-            if (member.primary() || snapshot.chosenId().equals(Optional.of(id)) || !isDue("fenced " + id, nowMs)) {
+            if (snapshot.chosenId().equals(Optional.of(id)) || !isDue("fenced " + id, nowMs)) {
                 continue;
             }
             Optional<ReplicaStatus> status = fencing.recentStatus(id);
             if (status.isEmpty()) {
                 effects.add(new AskStatus(id));
-            } else if (!status.get().primary() && status.get().heldTerm() == 0 && !fencing.isDemoted(id)) {
+            } else if (status.get().primary()) {
+                demote(snapshot, member, fencing.nextTerm()).ifPresent(effects::add);
+            } else if (status.get().heldTerm() == 0 && !fencing.isDemoted(id)) {
                 effects.add(pause(id, fencing.nextTerm()));
             }
         }
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -266,6 +266,7 @@
     void promotionRequestIsRepeatedUntilItHasAResult() {
         chooseB();
         assertThat(step(2_000)).containsExactly(new Promote(1, "b"));
+        assertThat(step(2_000)).containsExactly(new AskStatus("p"));
         assertThat(step(2_000)).isEmpty();
         advance(300);
         assertThat(step(2_300)).containsExactly(new AskStatus("p"), new AskStatus("a"), new AskStatus("b"));
@@ -565,6 +566,23 @@
         assertThat(step(0)).containsExactly(new Promote(4, "p"));
     }
 
+    /** A database joined and acknowledged for the old primary while the promotion was about to take effect. */
+    @Test
+    void oldPrimaryThatRespondsDuringTheTakeoverIsDemoted() {
+        chooseB();
+        step(2_000);
+        failover.onPromotionResult(1, true);
+        step(2_000);
+        failover.onLogCommitEnded(true);
+        concluded = true;
+        advance(300);
+        step(2_000);
+        failover.onStatus("p", new ReplicaStatus(true, 3, new LogPosition(3, 60), 0));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(step(2_000)).contains(new Demote("p", 5));
+    }
+
     /** The proof of one instance confirmed another one that still announced itself as the primary (the same histories, seed 1984). */
     @Test
     void proofOfAnotherInstanceDoesNotConfirmThePrimary() {
