A group whose members all respond as replicas needs no pauses

Change: if each member responds as a replica and no log was lost, none leads, and nothing is acknowledged until one is promoted.

--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -146,6 +146,8 @@
      * primary holds all of them too. The log of the candidate covers the logs of all members that responded, so that a demoted
      * primary of an earlier term is not mistaken for the latest primary.
      *
+     * <p>If all members respond as replicas and no log was lost, none leads, and nothing is acknowledged until one is promoted.
+     *
      * <p>One replica may receive on, whose pause is not reliable, provided that it is the candidate: what it acknowledges until its
      * promotion takes effect is in its log.
      *
@@ -173,7 +175,10 @@
         boolean onlyCandidateReceives = receiving.isEmpty() || mostAdvanced.equals(Optional.of(receiving.get(0)));
         boolean allButOneFenced =
                 allFenced && replicas.size() >= copies - 1 && receiving.size() <= 1 && onlyCandidateReceives;
-        if (mostAdvanced.isEmpty() || !(demotedResponding || allButOneFenced)) {
+        boolean noneLeads = replicas.size() == members.size()
+                && copies == members.size()
+                && replicas.stream().noneMatch(this::hasUnexplainedEmptyLog);
+        if (mostAdvanced.isEmpty() || !(demotedResponding || noneLeads || allButOneFenced)) {
             return Optional.empty();
         }
         long waitedMs = elapsedMs();
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -391,6 +391,21 @@
         assertThat(step(9_000).contains(new Pause("a", 4))).isEqualTo(expectedPause);
     }
 
+    /** After the demotion by an earlier leader, no member leads, and no pause is needed to show it. */
+    @ParameterizedTest
+    @CsvSource({"true, true", "false, false"})
+    void candidateIsChosenOnceAllMembersRespondAsReplicas(boolean primaryResponds, boolean expectedChoice) {
+        pendingResumes = List.of(new PendingResume("a", 0, 0), new PendingResume("b", 0, 0));
+        raiseToken();
+        failover.onStatus("a", replica(3, 60, 0));
+        failover.onStatus("b", replica(3, 60, 0));
+        if (primaryResponds) {
+            failover.onStatus("p", replica(3, 59, 0));
+        }
+
+        assertThat(hasChoice(step(9_000))).isEqualTo(expectedChoice);
+    }
+
     @ParameterizedTest
     @CsvSource({"0, false", "1, true"})
     void resumeEndsWithTheProcessOfTheReplica(long laterBornMs, boolean expectedPause) {
