Histories with late commands, replaced leaders and copies that are not registered

SimulatedGroup left these orders of events out. It draws them from a random source of its own: a command without a response is carried out 2 to 12 s later; a leader stops before any of its effects and continues after another one has followed; a database that joins receives before control has its announcement, while control reaches the primary. A promotion ends all pauses, or that of the promoted database alone. The group must serve again after the first two.

--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
@@ -45,9 +45,17 @@
 
     long processEndsAtMs;
 
-    /** Whether an announcement of this incarnation has arrived. A database that starts empty receives only after that. */
+    /**
+     * Whether an announcement of this incarnation has arrived. A database that starts empty receives only after that, unless {@link
+     * #receivesUnannounced}.
+     */
     boolean announced;
 
+    boolean receivesUnannounced;
+
+    /** No announcement arrives before this time. */
+    long announcesFromMs;
+
     private boolean announcedPrimary;
     private boolean announcedDraining;
 
@@ -77,7 +85,16 @@
     }
 
     boolean isReceiving(long nowMs) {
-        return !primary && up && announced && pausedTerm == 0 && nowMs >= replicationStalledUntilMs;
+        return !primary
+                && up
+                && (announced || receivesUnannounced)
+                && pausedTerm == 0
+                && nowMs >= replicationStalledUntilMs;
+    }
+
+    /** Whether the database may receive before control has received its first announcement. */
+    boolean isUnregisteredCopy() {
+        return up && receivesUnannounced && !announced;
     }
 
     LogPosition position() {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.hornbeamspread.core.failover.SyncGroupFailover.GroupSnapshot;
 import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
@@ -18,6 +19,7 @@
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.InstanceRegistry.Departure;
 import org.hornbeamspread.core.route.LostCopy;
+import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /**
  * A random history of one group under changing control leaders. Databases crash, restart, drain, become unreachable and fall
@@ -25,9 +27,15 @@
  * leader changes at any point. If logs can be lost, databases also restart empty, under the same id or another, and the
  * log of a database that departs is lost. A departed database may receive and acknowledge for seconds until its process ends.
  *
+ * <p>With {@link Faults#LATE_COMMANDS}, commands to databases get no response and are carried out seconds later. With {@link
+ * Faults#STOPPED_LEADERS}, a leader stops between any two effects and continues after another one has followed. With {@link
+ * Faults#UNREGISTERED_COPIES}, a database that joins receives before control has received its announcement, while control
+ * reaches the primary.
+ *
  * <p>Two cases are left out, because no order of steps can cover them. A replica restarts, which ends its pause, or joins, and
  * receives from an old primary that control cannot reach, while the promotion of another replica is still to be carried out or
- * to take effect. A database joins and acknowledges before control has received its announcement.
+ * to take effect. A database joins and acknowledges for a primary that control cannot reach before control has received the
+ * announcement.
  */
 final class SimulatedGroup {
     private static final int STEPS = 600;
@@ -46,9 +54,30 @@
     /** The mean number of steps from one announcement to the next. */
     private static final int MEAN_ANNOUNCEMENT_INTERVAL_STEPS = 20;
 
+    /** A replaced leader continues at most this long after it stopped. */
+    private static final int MAX_LEADER_STOP_MS = 8_000;
+
+    /** Bounds of the delay of a command that gets no response. */
+    private static final long MIN_COMMAND_DELAY_MS = 2_000;
+
+    private static final long MAX_COMMAND_DELAY_MS = 12_000;
+
+    /** The first announcement of a database that joins may take this long. */
+    private static final int MAX_FIRST_ANNOUNCEMENT_DELAY_MS = 1_000;
+
     /** Long enough for every promotion request, takeover, pause and round of status requests to end. */
     private static final int FAULT_FREE_STEPS = 500;
 
+    /** The same after commands were late or leaders were replaced: long enough for every resume to end. */
+    private static final int FAULT_FREE_STEPS_AFTER_LATE_COMMANDS = 1_200;
+
+    /** Faults that are drawn in addition to the others. */
+    enum Faults {
+        LATE_COMMANDS,
+        STOPPED_LEADERS,
+        UNREGISTERED_COPIES
+    }
+
     /**
      * The parameters of a history.
      *
@@ -57,19 +86,40 @@
      * @param promotionDelayMs how long an accepted promotion takes
      * @param logsCanBeLost whether databases also restart empty, are replaced and depart
      * @param newIdOnRestart whether a database that restarts with its log has a new id, as a new process
+     * @param promotionEndsAllPauses whether a promotion ends the pauses of all databases, or that of the promoted one alone
+     * @param faults further faults
      */
     record Scenario(
             int databases,
             boolean pauseTakesEffect,
             long promotionDelayMs,
             boolean logsCanBeLost,
-            boolean newIdOnRestart) {
+            boolean newIdOnRestart,
+            boolean promotionEndsAllPauses,
+            Set<Faults> faults) {
         /** A scenario in which a database that restarts with its log keeps its id, unless logs can be lost. */
         Scenario(int databases, boolean pauseTakesEffect, long promotionDelayMs, boolean logsCanBeLost) {
-            this(databases, pauseTakesEffect, promotionDelayMs, logsCanBeLost, false);
+            this(databases, pauseTakesEffect, promotionDelayMs, logsCanBeLost, false, true, Set.of());
+        }
+
+        boolean has(Faults fault) {
+            return faults.contains(fault);
         }
     }
 
+    /** A command without a response that a database carries out later, unless its process has ended by then. */
+    private record LateCommand(SimulatedDatabase database, Consumer<SimulatedDatabase> action, long dueAtMs) {}
+
+    /**
+     * A leader that has been replaced while its process stood still.
+     *
+     * @param failover its state
+     * @param effects effects that it had decided on, and not carried out
+     * @param snapshot the group as the leader last observed it
+     */
+    private record StoppedLeader(
+            SyncGroupFailover failover, List<SyncFailoverEffect> effects, GroupSnapshot snapshot, long continuesAtMs) {}
+
     /** A promotion request that the platform has received and not carried out. */
     private record DelayedPromotion(long token, String instanceId, long dueAtMs) {}
 
@@ -95,8 +145,15 @@
     private final Map<String, Long> announcedStartMs = new HashMap<>();
 
     private final Deque<DelayedPromotion> delayedPromotions = new ArrayDeque<>();
+    private final List<LateCommand> lateCommands = new ArrayList<>();
+    private final List<StoppedLeader> stoppedLeaders = new ArrayList<>();
     private final Set<PendingResume> pendingResumes = new LinkedHashSet<>();
-    private long leaderTerm;
+
+    /** A random source of its own, so that the other draws of a seed do not depend on the further faults. */
+    private final Random faultRandom;
+
+    private boolean lateCommandsEnabled;
+    private long leaderTerm = 1;
     private int addressCount;
     private int idCount;
     private long acknowledged;
@@ -112,6 +169,8 @@
         this.traced = traced;
         this.scenario = scenario;
         this.random = new Random(seed);
+        this.faultRandom = new Random(-1L - seed);
+        this.lateCommandsEnabled = scenario.has(Faults.LATE_COMMANDS);
         for (int i = 0; i < scenario.databases(); i++) {
             SimulatedDatabase database = new SimulatedDatabase(addressCount++, nextId(), 1);
             database.term = 1;
@@ -121,7 +180,7 @@
             databases.add(database);
             deliverAnnouncement(database);
         }
-        failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, ++leaderTerm);
+        failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, leaderTerm);
     }
 
     /** Runs the history with faults. */
@@ -140,7 +199,9 @@
 
     /** Ends all faults and continues the history. */
     void runWithoutFaults() {
-        for (int i = 0; i < FAULT_FREE_STEPS && lostCommitPositions.isEmpty(); i++) {
+        lateCommandsEnabled = false;
+        int steps = scenario.faults().isEmpty() ? FAULT_FREE_STEPS : FAULT_FREE_STEPS_AFTER_LATE_COMMANDS;
+        for (int i = 0; i < steps && lostCommitPositions.isEmpty(); i++) {
             clock.advance(Duration.ofMillis(STEP_MS));
             for (SimulatedDatabase database : List.copyOf(databases)) {
                 database.reachable = true;
@@ -161,10 +222,12 @@
 
     private void runStep(boolean faultsEnabled) {
         appendAndReplicate();
+        runLateCommands();
         runDelayedPromotions();
         completeTakeovers();
         sendAnnouncements();
-        runFailover(faultsEnabled && random.nextInt(200) == 0);
+        runStoppedLeaders();
+        runFailover(faultsEnabled, faultsEnabled && random.nextInt(200) == 0);
     }
 
     private String nextId() {
@@ -173,8 +236,12 @@
 
     private void injectFaults() {
         for (SimulatedDatabase database : List.copyOf(databases)) {
+            boolean keepsPrimary =
+                    database.primary && databases.stream().anyMatch(SimulatedDatabase::isUnregisteredCopy);
             if (database.up && random.nextInt(100) == 0) {
-                crash(database);
+                if (!keepsPrimary) {
+                    crash(database);
+                }
             } else if (!database.up
                     && clock.millis() - database.downSinceMs > MIN_RESTART_MS
                     && delayedPromotions.isEmpty()
@@ -182,7 +249,7 @@
                     && random.nextInt(50) == 0) {
                 restart(database);
             }
-            if (random.nextInt(60) == 0) {
+            if (random.nextInt(60) == 0 && !keepsPrimary) {
                 database.reachable = !database.reachable;
             }
             if (random.nextInt(150) == 0) {
@@ -191,12 +258,16 @@
             startOrFinishDeparture(database);
         }
         if (random.nextInt(150) == 0) {
-            addTrace("control leader changes");
-            failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, ++leaderTerm);
-            announcedAtMs.replaceAll((id, announced) -> clock.millis());
+            changeLeader();
         }
     }
 
+    private void changeLeader() {
+        addTrace("control leader changes");
+        failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, ++leaderTerm);
+        announcedAtMs.replaceAll((id, announced) -> clock.millis());
+    }
+
     private void crash(SimulatedDatabase database) {
         addTrace("crash " + database.id);
         database.up = false;
@@ -231,7 +302,7 @@
         } else if (database.drainingSinceMs == 0 && database.up && random.nextInt(400) == 0) {
             database.drainingSinceMs = nowMs;
             if (scenario.logsCanBeLost() && memberCount() <= scenario.databases()) {
-                databases.add(new SimulatedDatabase(addressCount++, nextId(), nowMs));
+                databases.add(joiningDatabase(nowMs));
             }
         } else if (database.drainingSinceMs > 0 && nowMs - database.drainingSinceMs > DEPARTURE_MS) {
             database.drainingSinceMs = 0;
@@ -246,6 +317,15 @@
         }
     }
 
+    private SimulatedDatabase joiningDatabase(long nowMs) {
+        SimulatedDatabase joining = new SimulatedDatabase(addressCount++, nextId(), nowMs);
+        if (scenario.has(Faults.UNREGISTERED_COPIES)) {
+            joining.receivesUnannounced = delayedPromotions.isEmpty() && takeovers.isEmpty();
+            joining.announcesFromMs = nowMs + faultRandom.nextInt(MAX_FIRST_ANNOUNCEMENT_DELAY_MS);
+        }
+        return joining;
+    }
+
     private long memberCount() {
         return databases.stream().filter(database -> !database.departed).count();
     }
@@ -262,7 +342,8 @@
         }
         primary.get().entries++;
         for (SimulatedDatabase database : databases) {
-            if (database.isReceiving(clock.millis()) && random.nextInt(3) > 0) {
+            boolean excluded = database.isUnregisteredCopy() && !primary.get().reachable;
+            if (database.isReceiving(clock.millis()) && !excluded && random.nextInt(3) > 0) {
                 database.entries = primary.get().entries;
                 database.term = primary.get().term;
                 acknowledged = primary.get().entries;
@@ -280,7 +361,8 @@
     private void sendAnnouncements() {
         for (SimulatedDatabase database : databases) {
             boolean due = database.needsAnnouncement() || random.nextInt(MEAN_ANNOUNCEMENT_INTERVAL_STEPS) == 0;
-            if (database.up && !database.departed && due && random.nextInt(4) > 0) {
+            boolean waits = clock.millis() < database.announcesFromMs;
+            if (database.up && !database.departed && due && random.nextInt(4) > 0 && !waits) {
                 deliverAnnouncement(database);
             }
         }
@@ -329,23 +411,61 @@
         if (promoted.entries < acknowledged) {
             lostCommitPositions.add(acknowledged);
         }
-        long highestTerm =
-                databases.stream().mapToLong(database -> database.term).max().orElse(0);
+        long highestTerm = newestTerm();
         databases.forEach(database -> database.primary = false);
         promoted.primary = true;
         promoted.term = 1 + highestTerm;
         for (SimulatedDatabase database : databases) {
             database.entries = Math.min(database.entries, promoted.entries);
-            database.pausedTerm = 0;
+            if (scenario.promotionEndsAllPauses() || database == promoted) {
+                database.pausedTerm = 0;
+            }
         }
         acknowledged = Math.min(acknowledged, promoted.entries);
     }
 
-    private void runFailover(boolean unreachableFromProxies) {
-        List<SyncFailoverEffect> effects = failover.step(snapshot(unreachableFromProxies));
+    private void runFailover(boolean faultsEnabled, boolean unreachableFromProxies) {
+        SyncGroupFailover leader = failover;
+        List<SyncFailoverEffect> effects = leader.step(snapshot(unreachableFromProxies));
         while (!effects.isEmpty()) {
-            effects.forEach(this::apply);
-            effects = failover.step(snapshot(unreachableFromProxies));
+            for (int i = 0; i < effects.size(); i++) {
+                if (faultsEnabled && scenario.has(Faults.STOPPED_LEADERS) && faultRandom.nextInt(40) == 0) {
+                    addTrace("leader stops before " + effects.subList(i, effects.size()));
+                    stoppedLeaders.add(new StoppedLeader(
+                            leader,
+                            effects.subList(i, effects.size()),
+                            snapshot(unreachableFromProxies),
+                            clock.millis() + faultRandom.nextInt(MAX_LEADER_STOP_MS)));
+                    changeLeader();
+                    return;
+                }
+                apply(effects.get(i), leader);
+            }
+            effects = leader.step(snapshot(unreachableFromProxies));
+        }
+    }
+
+    /** A replaced leader carries out the effects on which it had decided, and decides once more before it observes its replacement. */
+    private void runStoppedLeaders() {
+        for (StoppedLeader stopped : List.copyOf(stoppedLeaders)) {
+            if (stopped.continuesAtMs() <= clock.millis()) {
+                stoppedLeaders.remove(stopped);
+                addTrace("replaced leader continues");
+                stopped.effects().forEach(effect -> apply(effect, stopped.failover()));
+                stopped.failover().step(stopped.snapshot()).forEach(effect -> apply(effect, stopped.failover()));
+            }
+        }
+    }
+
+    private void runLateCommands() {
+        for (LateCommand command : List.copyOf(lateCommands)) {
+            if (command.dueAtMs() <= clock.millis()) {
+                lateCommands.remove(command);
+                if (databases.contains(command.database()) && command.database().up) {
+                    addTrace("late command at " + command.database().id);
+                    command.action().accept(command.database());
+                }
+            }
         }
     }
 
@@ -390,90 +510,134 @@
         }
     }
 
-    private void apply(SyncFailoverEffect effect) {
+    /** Applies an effect of a leader. Commits to the log fail for a leader that has been replaced. */
+    private void apply(SyncFailoverEffect effect, SyncGroupFailover leader) {
         addTrace(effect);
+        boolean leads = leader == failover;
         if (effect instanceof SyncFailoverEffect.RaiseToken raise) {
-            token++;
-            unsettledChoices = raise.unsettledChoices();
-            chosenId = Optional.empty();
-            concluded = false;
-            failover.onLogCommitEnded(true);
+            if (leads) {
+                token++;
+                unsettledChoices = raise.unsettledChoices();
+                chosenId = Optional.empty();
+                concluded = false;
+            }
+            leader.onLogCommitEnded(leads);
         } else if (effect instanceof SyncFailoverEffect.Choose choose) {
-            chosenId = Optional.of(choose.instanceId());
-            failover.onLogCommitEnded(true);
+            chosenId = leads ? Optional.of(choose.instanceId()) : chosenId;
+            leader.onLogCommitEnded(leads);
         } else if (effect instanceof SyncFailoverEffect.Conclude conclude) {
-            concluded = true;
-            unsettledChoices = conclude.unsettledChoices();
-            failover.onLogCommitEnded(true);
+            concluded |= leads;
+            unsettledChoices = leads ? conclude.unsettledChoices() : unsettledChoices;
+            leader.onLogCommitEnded(leads);
+        } else if (effect instanceof SyncFailoverEffect.Recover recover) {
+            if (leads) {
+                registry.markRecovered(recover.copies());
+            }
         } else if (effect instanceof SyncFailoverEffect.CommitResumes commit) {
-            pendingResumes.addAll(commit.resumes());
-            failover.onResumesCommitEnded(commit.resumes(), true);
+            boolean committed = leads && commit.token() == token && concluded;
+            if (committed) {
+                pendingResumes.addAll(commit.resumes());
+            }
+            leader.onResumesCommitEnded(commit.resumes(), committed);
         } else if (effect instanceof SyncFailoverEffect.EndResumes end) {
-            end.resumes().forEach(pendingResumes::remove);
-        } else if (effect instanceof SyncFailoverEffect.Recover recover) {
-            registry.markRecovered(recover.copies());
+            if (leads) {
+                end.resumes().forEach(pendingResumes::remove);
+            }
         } else if (effect instanceof SyncFailoverEffect.CheckProcessEnd check) {
-            checkProcessEnd(check.copy());
+            checkProcessEnd(check.copy(), leader);
         } else if (effect instanceof SyncFailoverEffect.Promote promote) {
-            requestPromotion(promote);
-        } else if (effect instanceof SyncFailoverEffect.AskStatus ask) {
-            sendCommand(ask.instanceId(), database -> {});
+            requestPromotion(promote, leader);
+        } else {
+            applyCommand(effect, leader);
+        }
+    }
+
+    private void applyCommand(SyncFailoverEffect effect, SyncGroupFailover leader) {
+        if (effect instanceof SyncFailoverEffect.AskStatus ask) {
+            sendCommand(ask.instanceId(), leader, database -> {}, leader::onStatus);
         } else if (effect instanceof SyncFailoverEffect.Pause pause) {
-            sendCommand(pause.instanceId(), database -> {
-                database.pausedTerm = scenario.pauseTakesEffect() && !database.primary ? pause.term() : 0;
-            });
+            sendCommand(pause.instanceId(), leader, database -> pause(database, pause.term()), leader::onStatus);
         } else if (effect instanceof SyncFailoverEffect.Demote demote) {
-            demote(demote);
+            demote(demote, leader);
         } else if (effect instanceof SyncFailoverEffect.Resume resume) {
-            sendCommand(resume.instanceId(), database -> {
-                database.pausedTerm = 0;
-                failover.onResumed(resume.instanceId(), database.status(scenario.pauseTakesEffect()));
-            });
+            sendCommand(resume.instanceId(), leader, database -> database.pausedTerm = 0, leader::onResumed);
         }
     }
 
-    private void requestPromotion(SyncFailoverEffect.Promote promote) {
+    private void pause(SimulatedDatabase database, long term) {
+        database.pausedTerm = scenario.pauseTakesEffect() && !database.primary ? term : 0;
+    }
+
+    private void requestPromotion(SyncFailoverEffect.Promote promote, SyncGroupFailover leader) {
         switch (random.nextInt(4)) {
             case 0 ->
                 delayedPromotions.add(new DelayedPromotion(
                         promote.token(), promote.instanceId(), clock.millis() + 2_000 + random.nextInt(8_000)));
             case 1 -> promote(promote.token(), promote.instanceId());
-            default -> failover.onPromotionResult(promote.token(), promote(promote.token(), promote.instanceId()));
+            default -> leader.onPromotionResult(promote.token(), promote(promote.token(), promote.instanceId()));
         }
     }
 
-    private void demote(SyncFailoverEffect.Demote demote) {
-        Optional<SimulatedDatabase> target = findReachable(demote.instanceId());
-        if (target.isEmpty()) {
-            return;
-        }
-        SimulatedDatabase database = target.get();
-        database.primary &= database.term >= demote.term();
-        if (random.nextInt(10) > 0) {
-            failover.onDemoted(database.id, database.status(scenario.pauseTakesEffect()));
-        }
+    private void demote(SyncFailoverEffect.Demote demote, SyncGroupFailover leader) {
+        Consumer<SimulatedDatabase> action = database -> database.primary &= database.term >= demote.term();
+        findReachable(demote.instanceId())
+                .filter(target -> !isLate(target, action))
+                .ifPresent(target -> {
+                    action.accept(target);
+                    if (random.nextInt(10) > 0) {
+                        leader.onDemoted(target.id, target.status(scenario.pauseTakesEffect()));
+                    }
+                });
     }
 
     /** Sends a command; the command or its response may be lost. */
-    private void sendCommand(String id, Consumer<SimulatedDatabase> action) {
+    private void sendCommand(
+            String id,
+            SyncGroupFailover leader,
+            Consumer<SimulatedDatabase> action,
+            BiConsumer<String, ReplicaStatus> onResponse) {
         boolean processEnded = find(id).filter(database -> database.up).isEmpty();
         if (processEnded && find(id).map(database -> database.reachable).orElse(true)) {
-            failover.onConnectionRefused(id);
+            leader.onConnectionRefused(id);
         }
-        findReachable(id).ifPresent(database -> {
+        findReachable(id).filter(target -> !isLate(target, action)).ifPresent(database -> {
             action.accept(database);
             if (random.nextInt(10) > 0) {
-                failover.onStatus(id, database.status(scenario.pauseTakesEffect()));
+                onResponse.accept(id, database.status(scenario.pauseTakesEffect()));
             }
         });
     }
 
+    /** Whether a command gets no response and is carried out seconds later. A pause at a term that has passed has no effect then. */
+    private boolean isLate(SimulatedDatabase target, Consumer<SimulatedDatabase> action) {
+        if (!lateCommandsEnabled || faultRandom.nextInt(5) > 0) {
+            return false;
+        }
+        long delayMs = MIN_COMMAND_DELAY_MS + faultRandom.nextLong(MAX_COMMAND_DELAY_MS - MIN_COMMAND_DELAY_MS);
+        long term = newestTerm();
+        lateCommands.add(new LateCommand(
+                target,
+                database -> {
+                    long pausedTerm = database.pausedTerm;
+                    action.accept(database);
+                    if (database.pausedTerm > 0 && newestTerm() > term) {
+                        database.pausedTerm = pausedTerm;
+                    }
+                },
+                clock.millis() + delayMs));
+        return true;
+    }
+
+    private long newestTerm() {
+        return databases.stream().mapToLong(database -> database.term).max().orElse(0);
+    }
+
     /** The check fails at random, as it does while control cannot reach the address. */
-    private void checkProcessEnd(LostCopy copy) {
+    private void checkProcessEnd(LostCopy copy, SyncGroupFailover leader) {
         boolean running = databases.stream()
                 .anyMatch(database -> database.id.equals(copy.instanceId()) && database.bornMs == copy.bornMs());
         if (!running && random.nextInt(2) > 0) {
-            failover.onProcessEnded(copy);
+            leader.onProcessEnded(copy);
         }
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
@@ -2,13 +2,18 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.stream.IntStream;
+import org.hornbeamspread.core.failover.SimulatedGroup.Faults;
 import org.hornbeamspread.core.failover.SimulatedGroup.Scenario;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Checks that a promoted database holds every acknowledged commit in random histories of {@link SimulatedGroup}. */
 final class SyncFailoverHistoriesTest {
@@ -26,6 +31,54 @@
         assertNoCommitLost(new Scenario(databases, true, promotionDelayMs, true));
     }
 
+    /**
+     * A resume that had no response was carried out during a later promotion, and the resumed replica acknowledged commits that the
+     * chosen candidate lacked (review case 10). Whether a promotion ends all pauses, or that of the promoted database alone, varies.
+     */
+    @ParameterizedTest
+    @MethodSource("databasesDelaysAndPauses")
+    void noAcknowledgedCommitIsLostWhenCommandsAreCarriedOutLate(
+            int databases, long promotionDelayMs, boolean promotionEndsAllPauses) {
+        assertNoCommitLost(scenario(databases, promotionDelayMs, promotionEndsAllPauses, Faults.LATE_COMMANDS));
+    }
+
+    /** A leader that had been replaced while it stood still resumed a replica that its successor had paused (review case 9). */
+    @ParameterizedTest
+    @MethodSource("databasesDelaysAndPauses")
+    void noAcknowledgedCommitIsLostWhenAReplacedLeaderContinues(
+            int databases, long promotionDelayMs, boolean promotionEndsAllPauses) {
+        assertNoCommitLost(scenario(databases, promotionDelayMs, promotionEndsAllPauses, Faults.STOPPED_LEADERS));
+    }
+
+    /** The same faults together: what a replaced leader sends may be carried out late too. */
+    @ParameterizedTest
+    @MethodSource("databasesDelaysAndPauses")
+    void noAcknowledgedCommitIsLostWhenCommandsOfReplacedLeadersAreLate(
+            int databases, long promotionDelayMs, boolean promotionEndsAllPauses) {
+        assertNoCommitLost(scenario(
+                databases, promotionDelayMs, promotionEndsAllPauses, Faults.LATE_COMMANDS, Faults.STOPPED_LEADERS));
+    }
+
+    /**
+     * A database that had joined acknowledged commits for a draining primary before it was registered, and another replica was
+     * promoted before the primary's demotion had a response (review case 8).
+     */
+    @ParameterizedTest
+    @CsvSource({"3, 0", "3, 300", "3, 600", "3, 1000", "4, 0", "4, 300", "4, 600", "4, 1000"})
+    void noAcknowledgedCommitIsLostWhenACopyIsNotRegisteredYet(int databases, long promotionDelayMs) {
+        assertNoCommitLost(
+                new Scenario(databases, true, promotionDelayMs, true, false, true, Set.of(Faults.UNREGISTERED_COPIES)));
+    }
+
+    /** However late commands are carried out, the group has a primary and a receiving replica in the end. */
+    @ParameterizedTest
+    @CsvSource({"3, 0, true", "3, 600, true", "3, 600, false", "4, 600, false"})
+    void groupServesAgainAfterLateCommandsAndReplacedLeaders(
+            int databases, long promotionDelayMs, boolean promotionEndsAllPauses) {
+        assertServesAfterFaults(scenario(
+                databases, promotionDelayMs, promotionEndsAllPauses, Faults.LATE_COMMANDS, Faults.STOPPED_LEADERS));
+    }
+
     /** After an abandoned promotion or a change of leaders, no replica stays paused and the group has a primary. */
     @ParameterizedTest
     @CsvSource({"3, 0", "3, 600", "4, 600"})
@@ -36,7 +89,7 @@
     /** No log is lost, but each restart is a new process, whose log is unproven until a primary is proven. */
     @Test
     void aGroupServesAgainAfterADemotionAndRestarts() {
-        assertServesAfterFaults(new Scenario(3, true, 600, false, true));
+        assertServesAfterFaults(new Scenario(3, true, 600, false, true, true, Set.of()));
     }
 
     /** The check detects lost commits if replicas are not paused before they report their position. */
@@ -49,6 +102,22 @@
         assertThat(losingHistories).isAtLeast(1);
     }
 
+    private static List<Arguments> databasesDelaysAndPauses() {
+        List<Arguments> cases = new ArrayList<>();
+        for (int databases : List.of(3, 4)) {
+            for (long promotionDelayMs : List.of(0L, 300L, 600L, 1_000L)) {
+                cases.add(Arguments.of(databases, promotionDelayMs, true));
+                cases.add(Arguments.of(databases, promotionDelayMs, false));
+            }
+        }
+        return cases;
+    }
+
+    private static Scenario scenario(
+            int databases, long promotionDelayMs, boolean promotionEndsAllPauses, Faults... faults) {
+        return new Scenario(databases, true, promotionDelayMs, false, false, promotionEndsAllPauses, Set.of(faults));
+    }
+
     private static void assertServesAfterFaults(Scenario scenario) {
         OptionalInt failingSeed = IntStream.range(0, HISTORIES)
                 .parallel()
