--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -34,8 +34,8 @@
  *
  * <p>Two cases are left out, because no order of steps can cover them. A replica restarts, which ends its pause, or joins, and
  * receives from an old primary that control cannot reach, while the promotion of another replica is still to be carried out or
- * to take effect. A database joins and acknowledges for a primary that control cannot reach before control has received the
- * announcement.
+ * to take effect. A database joins and acknowledges before control has received its announcement, for a primary that control cannot
+ * reach or that crashes meanwhile.
  */
 final class SimulatedGroup {
     private static final int STEPS = 600;
