An empty log is not promoted because nobody else responds

In a random history the primary had crashed and started again without its log, one replica was exempt from fencing and the other out of reach: control promoted the empty log, and all 84 acknowledged commits were lost. Cause: an empty log without a recorded loss counts for nothing only while another log is not empty, and the responses of others are cleared when a token is raised. A lone response that is empty was taken for that of a new group. Why it works: that the group has had entries is kept for the leader's term, from responses and proofs; a group that never had any is still promoted (case 2).

--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -33,6 +33,9 @@
     /** The time since which each member has reported an empty log while paused, under the current token. */
     private final Map<String, Long> emptyLogSinceMs = new HashMap<>();
 
+    /** Whether an instance was observed to have a log that is not empty, under any token. */
+    private boolean groupHasEntries;
+
     /** The terms of pauses without a response. */
     private final Map<String, Long> pendingPauseTerms = new HashMap<>();
 
@@ -96,10 +99,16 @@
         return demotedId;
     }
 
+    /** Handles a position that an instance of the group has had. */
+    void onPosition(LogPosition position) {
+        groupHasEntries |= !position.equals(LogPosition.NONE);
+    }
+
     /** Stores a member's status; returns false when the member refused to pause. */
     boolean onStatus(String instanceId, ReplicaStatus status) {
         statuses.put(instanceId, status);
         statusReceivedAtMs.put(instanceId, clock.millis());
+        onPosition(status.received());
         if (status.received().equals(LogPosition.NONE) && status.heldTerm() > 0) {
             emptyLogSinceMs.putIfAbsent(instanceId, clock.millis());
         } else {
@@ -233,8 +242,8 @@
     }
 
     /**
-     * Whether an instance has an empty log while others do not, and no loss of its log is recorded: the instance may have just
-     * restarted and not announced itself yet. An instance that has announced itself since it reported the empty log is the registered
+     * Whether an instance has an empty log while others do not, or did not when they last responded, and no loss of its log is recorded:
+     * the instance may have just restarted and not announced itself yet. An instance that has announced itself since it reported the empty log is the registered
      * incarnation, and never held an entry.
      */
     private boolean hasUnexplainedEmptyLog(MemberView member) {
@@ -243,8 +252,7 @@
         return !announcedSince
                 && statuses.get(id).received().equals(LogPosition.NONE)
                 && !unprovenLogIds.contains(id)
-                && statuses.values().stream()
-                        .anyMatch(status -> !status.received().equals(LogPosition.NONE));
+                && groupHasEntries;
     }
 
     String describe(MemberView member) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -183,6 +183,7 @@
             lastPrimaryProofAtMs = nowMs - snapshot.primaryProofAgeMs();
             provenPrimaryId = snapshot.observedPrimaryId();
         }
+        snapshot.primaryProof().ifPresent(proof -> fencing.onPosition(proof.position()));
         coverage.updateLosses(snapshot);
         fencing.updateMembers(snapshot.members(), coverage.possiblyRunningCopies(snapshot));
         pauses.retainMembers(snapshot.members());
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -804,6 +804,33 @@
         assertThat(hasChoice(step(1_400))).isEqualTo(expectedChoice);
     }
 
+    /**
+     * The primary had started again without its log, and was the only member to respond: nothing that responded under the new token had
+     * an entry, so that its empty log was taken for that of a new group and promoted.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, false", "false, true"})
+    void emptyLogIsNotPromotedInAGroupThatHadEntries(boolean groupHadEntries, boolean expectedChoice) {
+        SyncGroupFailover group = new SyncGroupFailover(clock, TIMINGS, 1);
+        MemberView restarted = new MemberView("p", false, false, 300, false, 0);
+        MemberView ended = new MemberView("b", false, false, 13_000, false, 0);
+        members = List.of(restarted, ended);
+        proof = Optional.of(
+                new PrimaryProof(groupHadEntries ? new LogPosition(3, 50) : LogPosition.NONE, clock.millis()));
+        advance(700);
+        group.step(snapshot(1_100, 0, false, false));
+        group.onLogCommitEnded(true);
+        token = 1;
+        concluded = false;
+        group.step(snapshot(1_100, 0, false, false));
+        group.onStatus("p", new ReplicaStatus(false, 0, LogPosition.NONE, 4));
+        advance(200);
+        group.onStatus("p", new ReplicaStatus(false, 0, LogPosition.NONE, 4));
+
+        assertThat(hasChoice(new ArrayList<>(group.step(snapshot(1_300, 0, false, false)))))
+                .isEqualTo(expectedChoice);
+    }
+
     /** The restarted primary was demoted, and no instance could be promoted any more (soak, seed 3001). */
     @Test
     void restartedPrimaryIsNotDemotedWhileItsLogIsUnproven() {
