A promoted instance leads once it responds as the primary, not once it is announced

Cause: the announcement that the promoted instance leads ended the wait for its takeover, resumed the replicas, and stopped fencing. Whoever reaches control can send it. Why it works: the takeover has to be observed by a response of the instance itself, to a status request that follows its announcement at once, or by a proof since the promotion was accepted. It costs one round trip before the replicas are resumed; where nobody gets a response, the promotion timeout (3 s) ends the wait as before. replicasAreResumedOnlyOnceThePromotedInstanceLeads now asserts the request and the response.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -105,6 +105,9 @@
     /** Whether the promoted instance was not yet the primary at the last check. */
     private boolean takeoverPending;
 
+    /** Whether the promoted instance has responded as the primary. Its announcement alone may come from another writer. */
+    private boolean takeoverObserved;
+
     /**
      * Creates the failover of a group under a new leader.
      *
@@ -298,6 +301,7 @@
     private List<SyncFailoverEffect> monitorPrimary(GroupSnapshot snapshot, long nowMs) {
         if (awaitsTakeover(snapshot, nowMs)) {
             List<SyncFailoverEffect> effects = new ArrayList<>(keepFenced(snapshot, nowMs));
+            effects.addAll(queryTakeover(snapshot, nowMs));
             effects.addAll(checkProcessEnds(snapshot, nowMs));
             return effects;
         }
@@ -328,8 +332,10 @@
             reachableAtTokenRaise = !lost && hasDirectProof(snapshot, timings.refusedDetectionMs());
             return effects;
         }
-        List<SyncFailoverEffect> effects = new ArrayList<>();
-        effects.addAll(resumeReplicas(snapshot, nowMs));
+        List<SyncFailoverEffect> effects = new ArrayList<>(queryTakeover(snapshot, nowMs));
+        if (!awaitsObservedTakeover(snapshot, nowMs)) {
+            effects.addAll(resumeReplicas(snapshot, nowMs));
+        }
         effects.addAll(queryPauseStates(snapshot, nowMs));
         effects.addAll(checkProcessEnds(snapshot, nowMs));
         effects.addAll(checkCoverage(snapshot, nowMs));
@@ -466,12 +472,12 @@
             concludedToken = snapshot.token();
             beginTakeover(nowMs);
         }
-        Optional<MemberView> promoted = snapshot.members().stream()
-                .filter(member -> snapshot.chosenId().equals(Optional.of(member.instanceId())))
-                .findFirst();
+        Optional<MemberView> promoted = promotedMember(snapshot);
+        takeoverObserved |=
+                promoted.filter(member -> isLeadObserved(snapshot, member)).isPresent();
         boolean ownPromotion = concludedToken == ownToken;
-        boolean promotedNotLeading = promoted.filter(member ->
-                        !member.primary() || (ownPromotion && member.silentMs() >= nowMs - promotionAcceptedAtMs))
+        boolean promotedNotLeading = promoted.filter(member -> !member.primary()
+                        || (ownPromotion && (!takeoverObserved || member.silentMs() >= nowMs - promotionAcceptedAtMs)))
                 .isPresent();
         promotedNotLeading |=
                 snapshot.chosenId().filter(fencing::isDepartedAndRunning).isPresent();
@@ -493,6 +499,40 @@
     private void beginTakeover(long nowMs) {
         promotionAcceptedAtMs = nowMs;
         takeoverPending = true;
+        takeoverObserved = false;
+    }
+
+    private static Optional<MemberView> promotedMember(GroupSnapshot snapshot) {
+        return snapshot.members().stream()
+                .filter(member -> snapshot.chosenId().equals(Optional.of(member.instanceId())))
+                .findFirst();
+    }
+
+    /** Whether an instance has responded as the primary to a status request, or has proven that it leads since the promotion was accepted. */
+    private boolean isLeadObserved(GroupSnapshot snapshot, MemberView member) {
+        boolean proven = snapshot.observedPrimaryId().equals(Optional.of(member.instanceId()))
+                && clock.millis() - snapshot.primaryProofAgeMs() >= promotionAcceptedAtMs;
+        return proven
+                || fencing.recentStatus(member.instanceId())
+                        .filter(ReplicaStatus::primary)
+                        .isPresent();
+    }
+
+    /** Whether a promoted instance has not responded as the primary yet, while its promotion may still be about to take effect. */
+    private boolean awaitsObservedTakeover(GroupSnapshot snapshot, long nowMs) {
+        return !takeoverObserved
+                && nowMs - promotionAcceptedAtMs <= timings.promotionTimeoutMs()
+                && promotedMember(snapshot).isPresent();
+    }
+
+    /** Requests the status of a promoted instance that has announced that it leads. */
+    private List<SyncFailoverEffect> queryTakeover(GroupSnapshot snapshot, long nowMs) {
+        return promotedMember(snapshot)
+                .filter(member -> member.primary() && awaitsObservedTakeover(snapshot, nowMs))
+                .filter(member -> isDue("takeover", nowMs))
+                .<SyncFailoverEffect>map(member -> new AskStatus(member.instanceId()))
+                .stream()
+                .toList();
     }
 
     private boolean isEligible(MemberView member) {
@@ -675,7 +715,7 @@
     /** Whether the candidate is the primary itself, for which a promotion request changes nothing. */
     private boolean isCurrentPrimary(GroupSnapshot snapshot, String chosenId) {
         return primary(snapshot)
-                .filter(member -> member.instanceId().equals(chosenId))
+                .filter(member -> member.instanceId().equals(chosenId) && isLeadObserved(snapshot, member))
                 .isPresent();
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -311,6 +311,10 @@
         advance(900);
         assertThat(withoutFencing(step(0))).isEmpty();
         members = List.of(A, new MemberView("b", false, true, 50, false, 0));
+        List<SyncFailoverEffect> unobserved = step(0);
+        assertThat(unobserved).contains(new AskStatus("b"));
+        assertThat(withoutFencing(unobserved)).isEmpty();
+        failover.onStatus("b", new ReplicaStatus(true, 4, new LogPosition(4, 60), 0));
 
         assertThat(step(0)).containsExactly(new CommitResumes(1, RESUME_OF_A));
         failover.onResumesCommitEnded(RESUME_OF_A, true);
@@ -323,6 +327,32 @@
         assertThat(step(0)).isEmpty();
     }
 
+    /**
+     * Another writer announced the promoted instance as the primary before its promotion had taken effect. The other replica was resumed, and
+     * commits that it acknowledged for the old primary were lost. Only a response of the instance shows that it leads.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, 2900, false", "false, 4000, false", "true, 100, true"})
+    void announcementDoesNotShowThatThePromotedInstanceLeads(boolean leads, long afterMs, boolean expectedResume) {
+        chooseB();
+        step(2_000);
+        failover.onPromotionResult(1, true);
+        step(2_000);
+        failover.onLogCommitEnded(true);
+        concluded = true;
+        observedPrimaryId = Optional.of("b");
+        boolean resumed = false;
+        for (long atMs = 100; atMs <= afterMs; atMs += 100) {
+            advance(100);
+            members = List.of(PRIMARY, A, new MemberView("b", false, true, 50, false, 0));
+            failover.onStatus("a", replica(3, 50, 4));
+            failover.onStatus("b", new ReplicaStatus(leads, leads ? 4 : 3, new LogPosition(3, 60), leads ? 0 : 4));
+            resumed |= step(atMs + 50).contains(new CommitResumes(1, RESUME_OF_A));
+        }
+
+        assertThat(resumed).isEqualTo(expectedResume);
+    }
+
     /**
      * The promoted instance departed before its promotion took effect, and its process ran on. The other replica was resumed, and
      * commits that it acknowledged for the old primary were lost when the departed instance took over.
