An entry that claims to lead doesn't take the place of the primary that was proven

What callers saw: an announcement of another writer that said primary was probed in the place of the working primary until that one announced itself again; one that said draining as well had the working primary demoted, and in random histories nobody was promoted after it. Cause: of several members that say they lead, the one with the latest announcement was taken, in the probe and in the failover; the age of a proof belonged to an instance, the proof itself to whichever was observed. Why it works: the promoted instance is preferred, then the one that was proven, then the latest announcement. All other members are asked for their status.

--- a/control/src/main/java/org/hornbeamspread/control/routes/PrimaryProbe.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/PrimaryProbe.java
@@ -52,8 +52,14 @@
         this.routesThread = routesThread;
     }
 
-    Optional<PrimaryProof> latestProof() {
-        return latestProof;
+    /** The latest proof, if it is of a given instance. */
+    Optional<PrimaryProof> latestProof(String instanceId) {
+        return latestProof.filter(proof -> instanceId.equals(provenInstanceId));
+    }
+
+    /** The instance that gave the latest proof; empty before the first. */
+    String provenInstanceId() {
+        return provenInstanceId;
     }
 
     /** Time since an instance last proved to this leader that it leads; a large number if it never did. */
--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -1,7 +1,6 @@
 package org.hornbeamspread.control.routes;
 
 import java.time.Clock;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hornbeamspread.control.ReplicatedLog;
+import org.hornbeamspread.core.failover.ObservedPrimary;
 import org.hornbeamspread.core.failover.PendingResume;
 import org.hornbeamspread.core.failover.SyncFailoverEffect;
 import org.hornbeamspread.core.failover.SyncFailoverTimings;
@@ -253,7 +253,7 @@
                     record.getPendingResumesList().stream()
                             .map(RouteMessages::pendingResume)
                             .toList(),
-                    probe.latestProof(),
+                    primaryId.flatMap(probe::latestProof),
                     primaryId,
                     proofAgeMs,
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
@@ -266,16 +266,8 @@
                     && watchingProxies.unreachableShare(primaryId, UNREACHABLE_AFTER_MS) >= UNREACHABLE_SHARE;
         }
 
-        /**
-         * The member that was promoted last; otherwise, of those that announce themselves as primary, the one with the
-         * latest announcement.
-         */
         private Optional<DatabaseInstance> primary() {
-            return members.stream()
-                    .filter(member -> member.primary() || member.instanceId().equals(promotedInstanceId))
-                    .min(Comparator.comparing((DatabaseInstance member) ->
-                                    !member.instanceId().equals(promotedInstanceId))
-                            .thenComparing(member -> -lastAnnouncedAtMs.getOrDefault(member.instanceId(), 0L)));
+            return ObservedPrimary.select(members, promotedInstanceId, probe.provenInstanceId(), lastAnnouncedAtMs);
         }
 
         private void apply(SyncFailoverEffect effect, GroupSnapshot snapshot) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -147,7 +147,7 @@
      * @param lostCopies logs that may have been lost with a database, and have not been recovered
      * @param departedCopies the lost copies that no later incarnation has replaced, so that their process may not have ended yet
      * @param pendingResumes resumes of any leader in the log that have not ended
-     * @param primaryProof the latest proof that this leader obtained itself
+     * @param primaryProof the latest proof that this leader obtained itself, if it is of the observed primary
      * @param observedPrimaryId the instance that the proof, its age and the stalled writes refer to
      * @param primaryProofAgeMs time since any observer last had proof that the primary works
      * @param stalledWriteMs how long writes have waited at the primary while none succeeded; 0 for none
@@ -394,9 +394,13 @@
         return effects;
     }
 
-    /** Requests the status of replicas that may be paused: by an earlier leader, or by a command without a response. */
+    /**
+     * Requests the status of replicas that may be paused: by an earlier leader, or by a command without a response. An instance beside the
+     * primary that says it leads is asked too, since its announcement may come from another writer.
+     */
     private List<SyncFailoverEffect> queryPauseStates(GroupSnapshot snapshot, long nowMs) {
-        return announcedReplicas(snapshot).stream()
+        return snapshot.members().stream()
+                .filter(member -> isAnnounced(member) && !primary(snapshot).equals(Optional.of(member)))
                 .filter(member -> pauses.isStatusNeeded(member, snapshot.token() > 0))
                 .filter(member -> isDue("pause state " + member.instanceId(), nowMs))
                 .<SyncFailoverEffect>map(member -> new AskStatus(member.instanceId()))
@@ -405,10 +409,14 @@
 
     private List<MemberView> announcedReplicas(GroupSnapshot snapshot) {
         return snapshot.members().stream()
-                .filter(member -> !member.primary() && member.silentMs() < timings.maxCandidateSilenceMs())
+                .filter(member -> !member.primary() && isAnnounced(member))
                 .toList();
     }
 
+    private boolean isAnnounced(MemberView member) {
+        return member.silentMs() < timings.maxCandidateSilenceMs();
+    }
+
     /** Checks whether every acknowledged commit is held without the copies that are lost or may be lost. */
     private List<SyncFailoverEffect> checkCoverage(GroupSnapshot snapshot, long nowMs) {
         if (!coverage.isCheckDue(snapshot)) {
@@ -536,7 +544,7 @@
     }
 
     private boolean isEligible(MemberView member) {
-        return !member.primary() && !member.draining() && member.silentMs() < timings.maxCandidateSilenceMs();
+        return !member.primary() && !member.draining() && isAnnounced(member);
     }
 
     private List<SyncFailoverEffect> raiseToken(GroupSnapshot snapshot) {
@@ -719,11 +727,17 @@
                 .isPresent();
     }
 
-    /** The member that reports itself as primary and was not demoted; of several, the one with the latest announcement. */
+    /**
+     * The member that reports itself as primary and was not demoted. Of several, the one chosen last, or proven last, or else the one with
+     * the latest announcement: the others may be announced by another writer.
+     */
     private Optional<MemberView> primary(GroupSnapshot snapshot) {
         return snapshot.members().stream()
                 .filter(member -> !fencing.demotedId().equals(Optional.of(member.instanceId())))
                 .filter(MemberView::primary)
-                .min(Comparator.comparingLong(MemberView::silentMs));
+                .min(Comparator.comparing(
+                                (MemberView member) -> !snapshot.chosenId().equals(Optional.of(member.instanceId())))
+                        .thenComparing(member -> !provenPrimaryId.equals(Optional.of(member.instanceId())))
+                        .thenComparingLong(MemberView::silentMs));
     }
 }
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -239,6 +239,17 @@
         assertThat(step(0)).containsExactly(new RaiseToken(1));
     }
 
+    /** An entry of another writer that claimed to be a draining primary had the working primary demoted. It is asked for its status instead. */
+    @Test
+    void anotherInstanceThatSaysItLeadsDoesNotReplaceThePrimary() {
+        MemberView odd = new MemberView("odd", true, true, 0, false, 7);
+        members = List.of(new MemberView("p", false, true, 900, false, 0), A, B);
+        step(0);
+        members = List.of(new MemberView("p", false, true, 900, false, 0), A, B, odd);
+
+        assertThat(step(0)).containsExactly(new AskStatus("odd"));
+    }
+
     /** A new leader gets no response to its first requests, and the promotion in its log was long ago. */
     @Test
     void earlierPromotionDoesNotDelayReplacementOfALostPrimary() {
