--- a/control/src/main/java/org/hornbeamspread/control/routes/DatabaseAdministration.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/DatabaseAdministration.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.DatabaseInstance;
-import org.hornbeamspread.core.route.LostCopy;
+import org.hornbeamspread.core.route.Presence;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /** The commands that control sends to databases. Futures fail with a typed failure when there is no response. */
@@ -24,11 +24,8 @@
     /** Returns the end of the instance's log if the instance proves to be the primary. */
     CompletableFuture<Optional<LogPosition>> probePrimary(DatabaseInstance instance);
 
-    /**
-     * Returns whether the process of a departed database has certainly ended: its address refuses connections, or another
-     * instance responds there. Silence shows nothing.
-     */
-    CompletableFuture<Boolean> hasProcessEnded(LostCopy copy);
+    /** Observes on a new connection whether an instance, or another one, responds at its address. Never fails. */
+    CompletableFuture<Presence> presence(DatabaseInstance instance);
 
     /** Closes the connections to all instances other than the given ones. */
     void retainConnections(java.util.Collection<DatabaseInstance> instances);
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.hornbeamspread.control.CommandResult;
 import org.hornbeamspread.control.Leadership;
 import org.hornbeamspread.control.ReplicatedLog;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
@@ -19,9 +18,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
-import org.hornbeamspread.core.route.InstanceRegistry.AnnouncementStatus;
 import org.hornbeamspread.core.route.InstanceRegistry.Departure;
-import org.hornbeamspread.protocol.schema.ChangeInstances;
 import org.hornbeamspread.protocol.schema.ControlCommand;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.ControlState;
@@ -54,6 +51,7 @@
     private final DatabaseLivenessTracker liveness;
     private final WatchingProxies watchingProxies;
     private final ServicePromotions promotions;
+    private final InstanceAnnouncements announcements;
     private ControlState appliedState = ControlState.getDefaultInstance();
     private Leadership leadership = new Leadership(0, Optional.empty(), false);
 
@@ -84,6 +82,17 @@
         this.watchingProxies = new WatchingProxies(clock, new ClockJumpDetector(clock, timeOfDay));
         this.promotions = new ServicePromotions(
                 memberId, log, databases, promoter, clock, events, metrics, thread::offer, watchingProxies);
+        this.announcements = new InstanceAnnouncements(
+                log,
+                registry,
+                liveness,
+                databases,
+                this::execute,
+                clock,
+                events,
+                metrics,
+                () -> publish(publishedState.get()),
+                promotions::onOutdatedAnnouncement);
     }
 
     /** Starts the thread. */
@@ -117,14 +126,12 @@
 
     @Override
     public CompletableFuture<Void> announce(DatabaseInstance instance) {
-        return runAsLeader(() -> commitAnnouncement(instance));
+        return runAsLeader(() -> announcements.announce(instance));
     }
 
     @Override
     public CompletableFuture<Void> depart(Departure departure) {
-        return runAsLeader(() -> commit(ChangeInstances.newBuilder()
-                .addDeparted(RouteMessages.toWire(departure))
-                .build()));
+        return runAsLeader(() -> announcements.depart(departure));
     }
 
     @Override
@@ -132,6 +139,12 @@
         thread.close();
     }
 
+    private void execute(Runnable task) {
+        if (!thread.offer(task)) {
+            throw new FailureException(FailureType.RING_FULL, "routes");
+        }
+    }
+
     private <T> CompletableFuture<T> runAsLeader(Supplier<CompletableFuture<T>> operation) {
         CompletableFuture<T> outcome = new CompletableFuture<>();
         boolean accepted = thread.offer(() -> {
@@ -193,42 +206,6 @@
                 });
     }
 
-    private CompletableFuture<Void> commitAnnouncement(DatabaseInstance instance) {
-        AnnouncementStatus status = registry.classify(instance);
-        if (status == AnnouncementStatus.OUTDATED) {
-            events.record(
-                    "announcement_outdated",
-                    "instance",
-                    instance.instanceId(),
-                    "born_ms",
-                    instance.bornMs(),
-                    "sequence",
-                    instance.sequence());
-            return CompletableFuture.completedFuture(null);
-        }
-        if (liveness.onAnnounced(instance.instanceId())) {
-            publish(publishedState.get());
-        }
-        if (status == AnnouncementStatus.UNCHANGED) {
-            return CompletableFuture.completedFuture(null);
-        }
-        return commit(ChangeInstances.newBuilder()
-                .addAnnounced(RouteMessages.toWire(instance))
-                .build());
-    }
-
-    private CompletableFuture<Void> commit(ChangeInstances change) {
-        return log.propose(
-                        ControlCommand.newBuilder().setChangeInstances(change).build())
-                .thenAccept(RouteControl::requireSuccess);
-    }
-
-    private static void requireSuccess(CommandResult result) {
-        result.failure().ifPresent(failure -> {
-            throw failure;
-        });
-    }
-
     private void onLeadershipChange(Leadership changed) {
         boolean becameLeader = changed.isLeader() && !leadership.isLeader();
         leadership = changed;
@@ -244,6 +221,7 @@
             liveness.reset(registry.all());
             watchingProxies.onLeadershipGained(changed.term());
             promotions.onLeadershipGained(changed.term());
+            announcements.onLeadershipGained();
         } else if (!changed.isLeader()) {
             watchingProxies.refuseAll(notLeader());
             promotions.onLeadershipLost();
@@ -257,7 +235,8 @@
         Collection<DatabaseInstance> registeredBefore = registry.all();
         if (instancesChanged
                 || !state.getDeparturesList().equals(appliedState.getDeparturesList())
-                || !state.getLostCopiesList().equals(appliedState.getLostCopiesList())) {
+                || !state.getLostCopiesList().equals(appliedState.getLostCopiesList())
+                || !state.getNamedServicesList().equals(appliedState.getNamedServicesList())) {
             RouteMessages.restore(registry, state);
         }
         if (state.getRoutes().getVersion() != appliedState.getRoutes().getVersion()) {
@@ -268,6 +247,7 @@
             events.record("instances_changed", "instances", state.getInstancesCount());
             logInstanceChanges(registeredBefore);
             liveness.retain(registry.all());
+            announcements.onRegistryChanged();
         }
         appliedState = state;
         publish(state);
@@ -326,6 +306,7 @@
         }
         liveness.markSilent(registry.all());
         publish(publishedState.get());
+        announcements.checkSharedAddresses();
         watchingProxies.answerExpiredWatches();
         metrics.onWatchingProxies(watchingProxies.liveProxies());
         promotions.tick(publishedState, registry, liveness.lastAnnouncedAtMs());
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteMetrics.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteMetrics.java
@@ -15,6 +15,7 @@
     private final Counter steps;
     private final Counter refusals;
     private final Counter commits;
+    private final Counter announcements;
     private final Histogram outages;
     private final Gauge proxies;
 
@@ -35,6 +36,12 @@
                 .help("Changes committed, by kind")
                 .labelNames("kind")
                 .register(registry);
+        announcements = Counter.builder()
+                .name("hornbeamspread_route_announcement_decisions_total")
+                .help(
+                        "Announcements that were not applied as they came, and instances that were found to have ended, by outcome")
+                .labelNames("outcome")
+                .register(registry);
         outages = Histogram.builder()
                 .name("hornbeamspread_route_outage_seconds")
                 .help("Time without proof of a working primary, until the promotion of its successor was requested")
@@ -59,6 +66,10 @@
         commits.labelValues(kind).inc();
     }
 
+    void onAnnouncement(String outcome) {
+        announcements.labelValues(outcome).inc();
+    }
+
     void onWatchingProxies(int count) {
         proxies.set(count);
     }
--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -108,6 +108,14 @@
         groups.clear();
     }
 
+    /** Handles an announcement that the registry takes for outdated. */
+    void onOutdatedAnnouncement(DatabaseInstance announced) {
+        DatabaseGroup group = groups.get(announced.service());
+        if (group != null) {
+            group.failover.onOutdatedAnnouncement(announced.instanceId());
+        }
+    }
+
     /** Whether no promotion of a service is in progress. */
     boolean isSettled(String service) {
         DatabaseGroup group = groups.get(service);
@@ -134,9 +142,6 @@
         private List<DatabaseInstance> members = List.of();
         private List<LostCopy> lostCopies = List.of();
 
-        /** The lost copies without a successor. */
-        private List<LostCopy> departedCopies = List.of();
-
         private long evidenceLoggedAtMs;
         private long concludedAtMs = Long.MIN_VALUE / 2;
         private boolean settled = true;
@@ -154,7 +159,6 @@
                 List.of(),
                 List.of(),
                 List.of(),
-                List.of(),
                 Optional.empty(),
                 Optional.empty(),
                 0,
@@ -185,9 +189,6 @@
             lostCopies = registry.lostCopies().stream()
                     .filter(copy -> copy.service().equals(service))
                     .toList();
-            departedCopies = lostCopies.stream()
-                    .filter(copy -> !registry.hasSuccessor(copy))
-                    .toList();
         }
 
         /** Applies the failover's next effects in the current state. */
@@ -249,7 +250,6 @@
                     record.getWritable(),
                     memberViews,
                     lostCopies,
-                    departedCopies,
                     record.getPendingResumesList().stream()
                             .map(RouteMessages::pendingResume)
                             .toList(),
@@ -401,10 +401,10 @@
 
         private void checkProcessEnd(LostCopy copy) {
             databases
-                    .hasProcessEnded(copy)
-                    .thenAccept(ended -> routesThread.accept(() -> {
-                        events.record("departed_process", "service", service, "copy", copy, "ended", ended);
-                        if (ended) {
+                    .presence(copy.incarnation())
+                    .thenAccept(presence -> routesThread.accept(() -> {
+                        events.record("process_check", "service", service, "copy", copy, "presence", presence);
+                        if (presence.isProcessEnded()) {
                             failover.onProcessEnded(copy);
                         }
                     }));
--- a/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
@@ -14,7 +14,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.DatabaseInstance;
-import org.hornbeamspread.core.route.LostCopy;
+import org.hornbeamspread.core.route.Presence;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 import org.hornbeamspread.core.sql.SqlConnection;
 import org.hornbeamspread.core.sql.SqlConnector;
@@ -79,13 +79,17 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> hasProcessEnded(LostCopy copy) {
-        return connector.connect(lastAnnouncement(copy), CONNECT_TIMEOUT).handle((connection, error) -> {
+    public CompletableFuture<Presence> presence(DatabaseInstance instance) {
+        return connector.connect(instance, CONNECT_TIMEOUT).handle((connection, error) -> {
             if (error == null) {
                 connection.close();
-                return false;
+                return Presence.RUNNING;
             }
-            return SqlConnector.isNotListening(FailureException.of(error).type());
+            return switch (FailureException.of(error).type()) {
+                case CONNECTION_REFUSED -> Presence.NOT_LISTENING;
+                case UNKNOWN_DATABASE -> Presence.REPLACED;
+                default -> Presence.UNKNOWN;
+            };
         });
     }
 
@@ -149,11 +153,6 @@
         return connection;
     }
 
-    private static DatabaseInstance lastAnnouncement(LostCopy copy) {
-        return new DatabaseInstance(
-                copy.instanceId(), copy.service(), copy.address(), "unknown", 1, true, false, copy.bornMs(), 0);
-    }
-
     private record DatabaseKey(String instanceId, long bornMs, String address) {
         static DatabaseKey of(DatabaseInstance instance) {
             return new DatabaseKey(
--- a/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
@@ -99,6 +99,7 @@
                     .addAllLostCopies(instances.lostCopies().stream()
                             .map(RouteMessages::toWire)
                             .toList())
+                    .addAllNamedServices(instances.namedServices())
                     .build();
         }
         return cachedState;
@@ -233,12 +234,15 @@
     private Optional<FailureException> replaceRoutes(RouteConfigurationDocument change) {
         if (change.getVersion() > routes.getVersion()) {
             routes = change;
+            instances.nameServices(RouteMessages.serviceNames(change));
         }
         return Optional.empty();
     }
 
     private Optional<FailureException> changeInstances(ChangeInstances change) {
+        change.getEndedList().forEach(ended -> instances.end(RouteMessages.lostCopy(ended)));
         RouteMessages.usableInstances(change.getAnnouncedList()).forEach(instances::announce);
+        RouteMessages.usableInstances(change.getReinstatedList()).forEach(instances::reinstate);
         change.getDepartedList().forEach(departed -> instances.depart(RouteMessages.departure(departed)));
         instances.markRecovered(
                 change.getRecoveredList().stream().map(RouteMessages::lostCopy).toList());
--- a/control/src/test/java/org/hornbeamspread/control/routes/UnreachableDatabases.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/UnreachableDatabases.java
@@ -7,11 +7,11 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.DatabaseInstance;
-import org.hornbeamspread.core.route.LostCopy;
+import org.hornbeamspread.core.route.Presence;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /** Databases that control can't reach: every command fails with REQUEST_TIMEOUT. */
-final class UnreachableDatabases implements DatabaseAdministration {
+class UnreachableDatabases implements DatabaseAdministration {
     @Override
     public CompletableFuture<ReplicaStatus> status(DatabaseInstance instance) {
         return unreachable(instance);
@@ -38,8 +38,8 @@
     }
 
     @Override
-    public CompletableFuture<Boolean> hasProcessEnded(LostCopy copy) {
-        return CompletableFuture.completedFuture(false);
+    public CompletableFuture<Presence> presence(DatabaseInstance instance) {
+        return CompletableFuture.completedFuture(Presence.UNKNOWN);
     }
 
     @Override
--- a/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/state/ControlStateMachineTest.java
@@ -335,6 +335,7 @@
 
     private static LostInstanceCopy lostCopy(String id, int port, long bornMs) {
         return LostInstanceCopy.newBuilder()
+                .setProcessEnded(true)
                 .setInstanceId(id)
                 .setService("ledger")
                 .setEndpoint(endpoint(port))
--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
@@ -32,7 +32,8 @@
 
     /**
      * The time at which each lost copy's process was first observed to have ended. A copy without an entry may still acknowledge
-     * commits: a database that has departed runs until it has received the response to its departure, or longer.
+     * commits: a database that has departed runs until it has received the response to its departure, or longer, and one that another
+     * announcement has displaced may not have ended at all.
      */
     private final Map<LostCopy, Long> endedAtMs = new HashMap<>();
 
@@ -56,9 +57,7 @@
     /** Updates the lost copies, and the members that announce themselves again. */
     void updateLosses(GroupSnapshot snapshot) {
         endedAtMs.keySet().retainAll(snapshot.lostCopies());
-        snapshot.lostCopies().stream()
-                .filter(copy -> !snapshot.departedCopies().contains(copy))
-                .forEach(this::onProcessEnded);
+        snapshot.lostCopies().stream().filter(LostCopy::processEnded).forEach(this::onProcessEnded);
         bornMsById.clear();
         snapshot.members().forEach(member -> bornMsById.put(member.instanceId(), member.bornMs()));
         snapshot.members().stream().filter(this::mayHaveRestarted).forEach(member -> onResponse(member.instanceId()));
@@ -88,9 +87,9 @@
         endedAtMs.putIfAbsent(copy, clock.millis());
     }
 
-    /** The departed databases whose process may still run. */
+    /** The lost copies whose process may still run. */
     List<LostCopy> possiblyRunningCopies(GroupSnapshot snapshot) {
-        return snapshot.departedCopies().stream()
+        return snapshot.possiblyRunningCopies().stream()
                 .filter(copy -> !endedAtMs.containsKey(copy))
                 .toList();
     }
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncFailoverEffect.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncFailoverEffect.java
@@ -79,7 +79,7 @@
         }
     }
 
-    /** Check whether the process of a departed database has ended. */
+    /** Check whether the process of a lost copy has ended. */
     record CheckProcessEnd(LostCopy copy) implements SyncFailoverEffect {}
 
     /** Commit that no acknowledged commit depends on these copies any more. */
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -145,7 +145,6 @@
      * @param concluded whether the latest promotion is concluded
      * @param members current members
      * @param lostCopies logs that may have been lost with a database, and have not been recovered
-     * @param departedCopies the lost copies that no later incarnation has replaced, so that their process may not have ended yet
      * @param pendingResumes resumes of any leader in the log that have not ended
      * @param primaryProof the latest proof that this leader obtained itself, if it is of the observed primary
      * @param observedPrimaryId the instance that the proof, its age and the stalled writes refer to
@@ -161,7 +160,6 @@
             boolean concluded,
             List<MemberView> members,
             List<LostCopy> lostCopies,
-            List<LostCopy> departedCopies,
             List<PendingResume> pendingResumes,
             Optional<PrimaryProof> primaryProof,
             Optional<String> observedPrimaryId,
@@ -174,9 +172,13 @@
             unsettledChoices = Set.copyOf(unsettledChoices);
             members = List.copyOf(members);
             lostCopies = List.copyOf(lostCopies);
-            departedCopies = List.copyOf(departedCopies);
             pendingResumes = List.copyOf(pendingResumes);
         }
+
+        /** The lost copies whose process is not known to have ended. */
+        List<LostCopy> possiblyRunningCopies() {
+            return lostCopies.stream().filter(copy -> !copy.processEnded()).toList();
+        }
     }
 
     /** Decides the next effects. Called at each tick and after each report. */
@@ -234,7 +236,15 @@
         coverage.onConnectionRefused(instanceId);
     }
 
-    /** Handles the observation that the process of a departed database has ended. */
+    /**
+     * Handles an announcement of a member's id that the registry takes for outdated. It may be that of the running process, whose restart then
+     * changes nothing in the registry.
+     */
+    public void onOutdatedAnnouncement(String instanceId) {
+        coverage.onResponse(instanceId);
+    }
+
+    /** Handles the observation that the process of a lost copy has ended. */
     public void onProcessEnded(LostCopy copy) {
         coverage.onProcessEnded(copy);
     }
--- a/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
+++ b/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
@@ -5,22 +5,28 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.NavigableMap;
+import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.hornbeamspread.core.membership.Address;
 
 /**
  * The registry of the databases that have announced themselves and have not departed.
  *
- * <p>Announcements may be delayed, and ids and addresses are reused. Announcements of one id are ordered by (start
- * time, sequence); among several ids at one address, the one with the latest start time holds the address. A number of
- * recent departures is retained, so that a delayed announcement does not add a departed database again. Results depend
- * only on the sequence of calls, not on a clock. Confined to one thread.
+ * <p>An announcement is a claim: it may be delayed, and other writers may send one. It can add an instance, but it can't end another one.
+ * Several ids may therefore be registered at one address, until it is observed which of them responds there ({@link #end}).
+ * Announcements of one id are ordered by (start time, sequence). An announcement of a service that no configuration has named is
+ * ignored. A number of recent departures is retained, so that a delayed announcement does not add a departed database again.
+ * Results depend only on the sequence of calls, not on a clock. Confined to one thread.
  *
- * <p>An incarnation ends when its id is announced with a later start time, when another id is announced at its address,
- * or when it departs. Its log may be lost with it, so it is retained as a {@link LostCopy} until that copy is
- * recovered.
+ * <p>An incarnation that is no longer registered is retained as a {@link LostCopy} until that copy is recovered. Its process is known to
+ * have ended if another instance was observed at its address, or if a later start of its id is registered at the same address, so
+ * that this one is whoever responds there.
  */
 public final class InstanceRegistry {
     /** Limit on retained departures: twice the number of databases that depart simultaneously in the largest group. */
@@ -29,14 +35,20 @@
     private final NavigableMap<String, DatabaseInstance> instances = new TreeMap<>();
     private final Deque<Departure> departures = new ArrayDeque<>();
 
-    /** The latest ended incarnation at each address of a service. */
-    private final NavigableMap<ServiceAddress, LostCopy> lostCopies =
-            new TreeMap<>(Comparator.comparing(ServiceAddress::service)
-                    .thenComparing(location -> location.address().host())
-                    .thenComparingInt(location -> location.address().port()));
+    /** The latest lost copy of each id at an address of a service: of those whose process has ended, and of the others. */
+    private final NavigableMap<CopyKey, LostCopy> lostCopies = new TreeMap<>(Comparator.comparing(CopyKey::service)
+            .thenComparing(key -> key.address().host())
+            .thenComparingInt(key -> key.address().port())
+            .thenComparing(CopyKey::instanceId)
+            .thenComparing(CopyKey::processEnded));
+
+    /** The services whose databases are registered; empty before the first configuration, when those of every service are. */
+    private final NavigableSet<String> namedServices = new TreeSet<>();
 
     /** The status of an announcement relative to the registry. */
     public enum AnnouncementStatus {
+        /** Of a service that no configuration has named; ignored. */
+        UNNAMED_SERVICE,
         /** Older than the registered state; ignored. */
         OUTDATED,
         /** Differs only by its sequence. */
@@ -55,12 +67,29 @@
         public static final long EVERY_INCARNATION = Long.MAX_VALUE;
     }
 
+    /**
+     * Applies the services of a configuration. A service that is no longer named stays in the registry while it has instances or lost copies,
+     * since a later configuration may name it again. The first configuration removes the instances of all other services: no
+     * client has reached them.
+     */
+    public void nameServices(Collection<String> configured) {
+        if (namedServices.isEmpty()) {
+            instances.values().removeIf(instance -> !configured.contains(instance.service()));
+            lostCopies.values().removeIf(copy -> !configured.contains(copy.service()));
+        }
+        namedServices.retainAll(servicesInUse());
+        namedServices.addAll(configured);
+    }
+
     /** Compares an announcement to the registered state without applying it. */
     public AnnouncementStatus classify(DatabaseInstance announced) {
+        if (!namedServices.isEmpty() && !namedServices.contains(announced.service())) {
+            return AnnouncementStatus.UNNAMED_SERVICE;
+        }
         boolean departed = departures.stream()
                 .anyMatch(departure -> departure.instanceId().equals(announced.instanceId())
                         && departure.bornMs() >= announced.bornMs());
-        if (departed || isAddressHeldByLaterInstance(announced)) {
+        if (departed) {
             return AnnouncementStatus.OUTDATED;
         }
         DatabaseInstance registered = instances.get(announced.instanceId());
@@ -75,19 +104,56 @@
         return announced.equalsIgnoringSequence(registered) ? AnnouncementStatus.UNCHANGED : AnnouncementStatus.NEW;
     }
 
-    /** Applies an announcement unless it is outdated; removes the database that held its address before. */
+    /** The registered instances that an announcement contradicts: its id at another place, and other ids at its address. */
+    public List<DatabaseInstance> contradictedBy(DatabaseInstance announced) {
+        return instances.values().stream()
+                .filter(registered -> registered.instanceId().equals(announced.instanceId())
+                        ? !isAtSamePlace(registered, announced)
+                        : registered.address().equals(announced.address()))
+                .toList();
+    }
+
+    /** The instances whose address is registered for another instance too. */
+    public List<DatabaseInstance> withSharedAddress() {
+        Map<Address, Long> counts = instances.values().stream()
+                .collect(Collectors.groupingBy(DatabaseInstance::address, Collectors.counting()));
+        return instances.values().stream()
+                .filter(instance -> counts.get(instance.address()) > 1)
+                .toList();
+    }
+
+    /** Applies an announcement unless it is outdated or of an unnamed service. */
     public void announce(DatabaseInstance announced) {
-        if (classify(announced) == AnnouncementStatus.OUTDATED) {
+        AnnouncementStatus status = classify(announced);
+        if (status == AnnouncementStatus.NEW || status == AnnouncementStatus.UNCHANGED) {
+            put(announced, false);
+        }
+    }
+
+    /**
+     * Registers an instance that was observed to run, although a departure of its id or a later announcement has been applied: they came from
+     * another writer.
+     */
+    public void reinstate(DatabaseInstance running) {
+        if (classify(running) == AnnouncementStatus.UNNAMED_SERVICE) {
             return;
         }
-        List<DatabaseInstance> ended = instances.values().stream()
-                .filter(registered -> isEndedBy(registered, announced))
-                .toList();
-        ended.forEach(registered -> {
-            instances.remove(registered.instanceId());
-            addLostCopy(LostCopy.of(registered));
-        });
-        instances.put(announced.instanceId(), announced);
+        departures.removeIf(departure ->
+                departure.instanceId().equals(running.instanceId()) && departure.bornMs() >= running.bornMs());
+        put(running, true);
+    }
+
+    /** Removes exactly this incarnation, whose process was observed to have ended; a lost copy of it is marked. */
+    public void end(LostCopy ended) {
+        DatabaseInstance registered = instances.get(ended.instanceId());
+        if (registered != null && ended.isCopyOf(registered)) {
+            instances.remove(ended.instanceId());
+            addLostCopy(LostCopy.of(registered, true));
+        }
+        LostCopy running = lostCopies.get(CopyKey.of(ended, false));
+        if (running != null && running.bornMs() <= ended.bornMs()) {
+            markEnded(running);
+        }
     }
 
     /**
@@ -105,7 +171,7 @@
         }
         if (registered != null && registered.bornMs() <= departure.bornMs()) {
             instances.remove(departure.instanceId());
-            addLostCopy(LostCopy.of(registered));
+            addLostCopy(LostCopy.of(registered, false));
         }
         departures.addLast(departure);
         if (departures.size() > MAX_RETAINED_DEPARTURES) {
@@ -128,58 +194,86 @@
         return List.copyOf(departures);
     }
 
-    /** The ended incarnations that are not recovered, ordered by service and address: the latest of each address. */
+    /** The copies that are not recovered, ordered by service, address and id. */
     public List<LostCopy> lostCopies() {
         return List.copyOf(lostCopies.values());
     }
 
-    /** Whether a later incarnation has the id or the address of a lost copy, so that the process of the copy has ended. */
-    public boolean hasSuccessor(LostCopy copy) {
-        return instances.values().stream()
-                .filter(instance -> instance.bornMs() > copy.bornMs())
-                .anyMatch(instance -> instance.instanceId().equals(copy.instanceId())
-                        || instance.address().equals(copy.address()));
+    /** The services whose databases are registered, in order; empty before the first configuration. */
+    public Collection<String> namedServices() {
+        return List.copyOf(namedServices);
     }
 
-    /** Removes exactly these lost copies; that of a later incarnation that ended at the same address stays. */
+    /** Removes the lost copies of exactly these incarnations; that of a later incarnation of the id at the same address stays. */
     public void markRecovered(Collection<LostCopy> recovered) {
-        lostCopies.values().removeAll(recovered);
+        lostCopies.values().removeIf(copy -> recovered.stream().anyMatch(copy::isSameIncarnation));
     }
 
-    /** Replaces the whole state of the registry. */
+    /**
+     * Replaces the whole state of the registry.
+     *
+     * @param named the named services; those of instances and lost copies are added, since an earlier version stored none
+     */
     public void restore(
-            Collection<DatabaseInstance> registered, Collection<Departure> departed, Collection<LostCopy> lost) {
+            Collection<DatabaseInstance> registered,
+            Collection<Departure> departed,
+            Collection<LostCopy> lost,
+            Collection<String> named) {
         instances.clear();
         registered.forEach(instance -> instances.put(instance.instanceId(), instance));
         departures.clear();
         departures.addAll(departed);
         lostCopies.clear();
         lost.forEach(this::addLostCopy);
+        namedServices.clear();
+        if (!named.isEmpty()) {
+            namedServices.addAll(named);
+            namedServices.addAll(servicesInUse());
+        }
     }
 
-    private void addLostCopy(LostCopy copy) {
-        lostCopies.merge(
-                new ServiceAddress(copy.service(), copy.address()),
-                copy,
-                (retained, ended) -> ended.bornMs() < retained.bornMs() ? retained : ended);
+    private Set<String> servicesInUse() {
+        Set<String> services = new TreeSet<>();
+        instances.values().forEach(instance -> services.add(instance.service()));
+        lostCopies.values().forEach(copy -> services.add(copy.service()));
+        return services;
     }
 
-    /**
-     * Whether an announcement ends a registered incarnation: its id has restarted, or another id has taken its address.
-     */
-    private static boolean isEndedBy(DatabaseInstance registered, DatabaseInstance announced) {
-        return registered.instanceId().equals(announced.instanceId())
-                ? registered.bornMs() < announced.bornMs()
-                : registered.address().equals(announced.address());
+    /** An id that was observed to run at one place has ended at another. */
+    private void put(DatabaseInstance announced, boolean observed) {
+        DatabaseInstance replaced = instances.put(announced.instanceId(), announced);
+        if (replaced != null && !LostCopy.of(replaced, false).isCopyOf(announced)) {
+            addLostCopy(LostCopy.of(replaced, observed || isAtSamePlace(replaced, announced)));
+        }
+        // Whoever responds at this place is the registered instance from now on.
+        LostCopy running = lostCopies.get(CopyKey.of(LostCopy.of(announced, false), false));
+        if (running != null && running.isCopyOf(announced)) {
+            lostCopies.remove(CopyKey.of(running, false));
+        } else if (running != null) {
+            markEnded(running);
+        }
     }
 
-    private boolean isAddressHeldByLaterInstance(DatabaseInstance announced) {
-        return instances.values().stream()
-                .anyMatch(other -> !other.instanceId().equals(announced.instanceId())
-                        && other.address().equals(announced.address())
-                        && other.bornMs() > announced.bornMs());
+    private void markEnded(LostCopy running) {
+        lostCopies.remove(CopyKey.of(running, false));
+        addLostCopy(running.ended());
+    }
+
+    private void addLostCopy(LostCopy added) {
+        lostCopies.merge(
+                CopyKey.of(added, added.processEnded()),
+                added,
+                (retained, copy) -> copy.bornMs() < retained.bornMs() ? retained : copy);
+    }
+
+    private static boolean isAtSamePlace(DatabaseInstance first, DatabaseInstance second) {
+        return first.service().equals(second.service()) && first.address().equals(second.address());
     }
 
-    /** A database address within a service. */
-    private record ServiceAddress(String service, Address address) {}
+    /** An id at an address of a service, and whether the process of the copy has ended. */
+    private record CopyKey(String service, Address address, String instanceId, boolean processEnded) {
+        static CopyKey of(LostCopy copy, boolean processEnded) {
+            return new CopyKey(copy.service(), copy.address(), copy.instanceId(), processEnded);
+        }
+    }
 }
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
@@ -94,7 +94,7 @@
 
     /** Whether the database may receive before control has received its first announcement. */
     boolean isUnregisteredCopy() {
-        return up && receivesUnannounced && !announced;
+        return receivesUnannounced && !announced;
     }
 
     LogPosition position() {
@@ -112,6 +112,14 @@
         return !announced || announcedPrimary != primary || announcedDraining != (drainingSinceMs > 0);
     }
 
+    Address address() {
+        return address(addressIndex);
+    }
+
+    static Address address(int index) {
+        return new Address("10.0.0." + index, 1);
+    }
+
     DatabaseInstance announcement() {
         sequence++;
         announcedPrimary = primary;
@@ -119,7 +127,7 @@
         return new DatabaseInstance(
                 id,
                 SERVICE,
-                new Address("10.0.0." + addressIndex, 1),
+                address(),
                 "domain-" + addressIndex,
                 SLOTS,
                 drainingSinceMs > 0,
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -16,9 +16,15 @@
 import org.hornbeamspread.core.failover.SyncGroupFailover.GroupSnapshot;
 import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.misc.ManualClock;
+import org.hornbeamspread.core.route.AnnouncementReview;
+import org.hornbeamspread.core.route.AnnouncementReview.Decision;
+import org.hornbeamspread.core.route.AnnouncementReview.Outcome;
+import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.InstanceRegistry.Departure;
 import org.hornbeamspread.core.route.LostCopy;
+import org.hornbeamspread.core.route.OutdatedAnnouncements;
+import org.hornbeamspread.core.route.Presence;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /**
@@ -30,7 +36,8 @@
  * <p>With {@link Faults#LATE_COMMANDS}, commands to databases get no response and are carried out seconds later. With {@link
  * Faults#STOPPED_LEADERS}, a leader stops between any two effects and continues after another one has followed. With {@link
  * Faults#UNREGISTERED_COPIES}, a database that joins receives before control has received its announcement, while control
- * reaches the primary.
+ * reaches the primary. With {@link Faults#OTHER_WRITERS}, announcements and departures of any id, service, address, role and start time
+ * arrive that no database sent, once or repeatedly ({@link ForeignAnnouncements}).
  *
  * <p>Two cases are left out, because no order of steps can cover them. A replica restarts, which ends its pause, or joins, and
  * receives from an old primary that control cannot reach, while the promotion of another replica is still to be carried out or
@@ -54,6 +61,8 @@
     /** The mean number of steps from one announcement to the next. */
     private static final int MEAN_ANNOUNCEMENT_INTERVAL_STEPS = 20;
 
+    private static final long ANNOUNCEMENT_INTERVAL_MS = 1_000;
+
     /** A replaced leader continues at most this long after it stopped. */
     private static final int MAX_LEADER_STOP_MS = 8_000;
 
@@ -71,11 +80,17 @@
     /** The same after commands were late or leaders were replaced: long enough for every resume to end. */
     private static final int FAULT_FREE_STEPS_AFTER_LATE_COMMANDS = 1_200;
 
+    /** How long other writers announce instances before the primary crashes, and how soon a successor leads then. */
+    private static final int ANNOUNCEMENT_STEPS = 200;
+
+    private static final int PROMOTION_STEPS = 160;
+
     /** Faults that are drawn in addition to the others. */
     enum Faults {
         LATE_COMMANDS,
         STOPPED_LEADERS,
-        UNREGISTERED_COPIES
+        UNREGISTERED_COPIES,
+        OTHER_WRITERS
     }
 
     /**
@@ -139,6 +154,7 @@
     private final Deque<Takeover> takeovers = new ArrayDeque<>();
     private final List<SimulatedDatabase> databases = new ArrayList<>();
     private final InstanceRegistry registry = new InstanceRegistry();
+    private final OutdatedAnnouncements outdated;
     private final Map<String, Long> announcedAtMs = new HashMap<>();
 
     /** The start time of the process that sent the latest announcement under each id. */
@@ -152,7 +168,13 @@
     /** A random source of its own, so that the other draws of a seed do not depend on the further faults. */
     private final Random faultRandom;
 
+    private final ForeignAnnouncements foreign;
+
     private boolean lateCommandsEnabled;
+
+    /** Whether no interval between announcements is much longer than the mean, and promotion requests have results. */
+    private boolean faultFree;
+
     private long leaderTerm = 1;
     private int addressCount;
     private int idCount;
@@ -165,11 +187,17 @@
     private SyncGroupFailover failover;
     private int promotions;
 
+    /** The instance that gave the latest proof; empty before the first. */
+    private String provenId = "";
+
     SimulatedGroup(Scenario scenario, int seed, boolean traced) {
         this.traced = traced;
         this.scenario = scenario;
         this.random = new Random(seed);
         this.faultRandom = new Random(-1L - seed);
+        this.foreign = new ForeignAnnouncements(new Random(Long.MIN_VALUE + seed));
+        this.outdated = new OutdatedAnnouncements(clock);
+        registry.nameServices(List.of(SimulatedDatabase.SERVICE));
         this.lateCommandsEnabled = scenario.has(Faults.LATE_COMMANDS);
         for (int i = 0; i < scenario.databases(); i++) {
             SimulatedDatabase database = new SimulatedDatabase(addressCount++, nextId(), 1);
@@ -192,6 +220,26 @@
         }
     }
 
+    /**
+     * Runs the history of a group without other faults, in which other writers announce instances and the primary crashes for good.
+     *
+     * @param contradictions whether only announcements come that running databases contradict, and no departures
+     * @param quietSteps how long before the crash the other writers stop
+     */
+    void runAnnouncementsAndCrash(boolean contradictions, int quietSteps) {
+        faultFree = true;
+        for (int i = 0; i < ANNOUNCEMENT_STEPS + quietSteps + PROMOTION_STEPS; i++) {
+            clock.advance(Duration.ofMillis(STEP_MS));
+            if (i < ANNOUNCEMENT_STEPS) {
+                sendForeignAnnouncements(contradictions);
+            }
+            if (i == ANNOUNCEMENT_STEPS + quietSteps) {
+                primary().ifPresent(this::crash);
+            }
+            runStep(false);
+        }
+    }
+
     /** Returns how many promotions took effect. */
     int promotions() {
         return promotions;
@@ -226,6 +274,10 @@
         runDelayedPromotions();
         completeTakeovers();
         sendAnnouncements();
+        if (faultsEnabled && scenario.has(Faults.OTHER_WRITERS)) {
+            sendForeignAnnouncements(false);
+        }
+        checkSharedAddresses();
         runStoppedLeaders();
         runFailover(faultsEnabled, faultsEnabled && random.nextInt(200) == 0);
     }
@@ -265,6 +317,7 @@
     private void changeLeader() {
         addTrace("control leader changes");
         failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, ++leaderTerm);
+        outdated.clear();
         announcedAtMs.replaceAll((id, announced) -> clock.millis());
     }
 
@@ -283,7 +336,11 @@
             addTrace("empty restart of " + database.id + " as " + next.id);
         } else {
             boolean newId = scenario.newIdOnRestart() || (scenario.logsCanBeLost() && random.nextBoolean());
-            next = database.restartWithLog(newId ? nextId() : database.id, newId ? clock.millis() : database.bornMs);
+            boolean joins = scenario.has(Faults.OTHER_WRITERS)
+                    && registry.find(database.id).isEmpty();
+            next = database.restartWithLog(
+                    newId ? nextId() : database.id, newId || joins ? clock.millis() : database.bornMs);
+            next.announced &= !joins;
             next.sequence = database.sequence;
             next.drainingSinceMs = database.drainingSinceMs;
             addTrace("restart of " + database.id + " as " + next.id);
@@ -360,7 +417,11 @@
     /** Announces once a second on average, and a change until its announcement arrives; some announcements are lost. */
     private void sendAnnouncements() {
         for (SimulatedDatabase database : databases) {
-            boolean due = database.needsAnnouncement() || random.nextInt(MEAN_ANNOUNCEMENT_INTERVAL_STEPS) == 0;
+            boolean due = database.needsAnnouncement()
+                    || random.nextInt(MEAN_ANNOUNCEMENT_INTERVAL_STEPS) == 0
+                    || (faultFree
+                            && clock.millis() - announcedAtMs.getOrDefault(database.id, 0L)
+                                    >= ANNOUNCEMENT_INTERVAL_MS);
             boolean waits = clock.millis() < database.announcesFromMs;
             if (database.up && !database.departed && due && random.nextInt(4) > 0 && !waits) {
                 deliverAnnouncement(database);
@@ -369,12 +430,93 @@
     }
 
     private void deliverAnnouncement(SimulatedDatabase database) {
-        registry.announce(database.announcement());
-        announcedAtMs.put(database.id, clock.millis());
-        announcedStartMs.put(database.id, database.startedAtMs);
+        receive(database.announcement(), database.startedAtMs);
         database.announced |= delayedPromotions.isEmpty() && takeovers.isEmpty();
     }
 
+    private void sendForeignAnnouncements(boolean contradictions) {
+        foreign.next(databases, clock.millis()).stream()
+                .filter(announced -> !contradictions || isContradicted(announced))
+                .forEach(announced -> {
+                    addTrace("foreign " + announced);
+                    receive(announced, announced.bornMs());
+                });
+        foreign.nextDeparture(databases).filter(departure -> !contradictions).ifPresent(departure -> {
+            addTrace("foreign " + departure);
+            registry.depart(departure);
+        });
+    }
+
+    /** Whether an announcement is of another service, or gives the address of a database to another id, or its id to another address. */
+    private boolean isContradicted(DatabaseInstance announced) {
+        Optional<SimulatedDatabase> named = find(announced.instanceId());
+        return !announced.service().equals(SimulatedDatabase.SERVICE)
+                || (named.isPresent() && !named.get().address().equals(announced.address()))
+                || (named.isEmpty()
+                        && databases.stream()
+                                .anyMatch(database -> database.address().equals(announced.address())));
+    }
+
+    /** Handles an announcement as the leader does. */
+    private void receive(DatabaseInstance announced, long startedAtMs) {
+        switch (registry.classify(announced)) {
+            case UNNAMED_SERVICE -> {}
+            case OUTDATED -> {
+                failover.onOutdatedAnnouncement(announced.instanceId());
+                boolean registered = registry.find(announced.instanceId()).isPresent();
+                boolean continued =
+                        registered && outdated.onOutdated(announced, announcedAtMs.get(announced.instanceId()));
+                if (!announced.draining()
+                        && OutdatedAnnouncements.isReinstated(registered, continued, presence(announced))) {
+                    registry.reinstate(announced);
+                    onAccepted(announced, startedAtMs);
+                }
+            }
+            case UNCHANGED, NEW -> {
+                Map<DatabaseInstance, Presence> observations = new HashMap<>();
+                AnnouncementReview.instancesToCheck(registry, announced)
+                        .forEach(instance -> observations.put(instance, presence(instance)));
+                Decision decision = AnnouncementReview.decide(announced, observations);
+                decision.ended().forEach(instance -> registry.end(LostCopy.of(instance, true)));
+                if (decision.outcome() == Outcome.ACCEPTED) {
+                    registry.announce(announced);
+                    onAccepted(announced, startedAtMs);
+                }
+            }
+        }
+    }
+
+    private void onAccepted(DatabaseInstance announced, long startedAtMs) {
+        announcedAtMs.put(announced.instanceId(), clock.millis());
+        announcedStartMs.put(announced.instanceId(), startedAtMs);
+    }
+
+    private void checkSharedAddresses() {
+        for (DatabaseInstance instance : registry.withSharedAddress()) {
+            if (presence(instance) == Presence.REPLACED) {
+                registry.end(LostCopy.of(instance, true));
+            }
+        }
+    }
+
+    /** What a connection to an instance shows. */
+    private Presence presence(DatabaseInstance instance) {
+        List<SimulatedDatabase> present = databases.stream()
+                .filter(database -> database.address().equals(instance.address()))
+                .toList();
+        if (present.stream().anyMatch(database -> !database.reachable)) {
+            return Presence.UNKNOWN;
+        }
+        Optional<SimulatedDatabase> listening =
+                present.stream().filter(database -> database.up).findFirst();
+        if (listening.isEmpty()) {
+            return Presence.NOT_LISTENING;
+        }
+        boolean named = listening.get().id.equals(instance.instanceId())
+                && instance.service().equals(SimulatedDatabase.SERVICE);
+        return named ? Presence.RUNNING : Presence.REPLACED;
+    }
+
     private void runDelayedPromotions() {
         while (!delayedPromotions.isEmpty() && delayedPromotions.peek().dueAtMs() <= clock.millis()) {
             DelayedPromotion request = delayedPromotions.remove();
@@ -482,7 +624,10 @@
                 .toList();
         Optional<SimulatedDatabase> reachablePrimary = primary()
                 .filter(database -> database.up && database.reachable)
-                .filter(database -> registry.find(database.id).isPresent());
+                .filter(database -> registry.find(database.id).isPresent())
+                .filter(database -> !scenario.has(Faults.OTHER_WRITERS)
+                        || observedPrimary().filter(database.id::equals).isPresent());
+        reachablePrimary.ifPresent(database -> provenId = database.id);
         return new GroupSnapshot(
                 token,
                 chosenId,
@@ -490,7 +635,6 @@
                 concluded,
                 members,
                 lostCopies,
-                lostCopies.stream().filter(copy -> !registry.hasSuccessor(copy)).toList(),
                 List.copyOf(pendingResumes),
                 reachablePrimary.map(database -> new PrimaryProof(database.position(), clock.millis())),
                 reachablePrimary.map(database -> database.id),
@@ -500,6 +644,13 @@
                 unreachableFromProxies);
     }
 
+    /** The primary that control observes. */
+    private Optional<String> observedPrimary() {
+        String promotedId = concluded ? chosenId.orElse("") : "";
+        return ObservedPrimary.select(registry.all(), promotedId, provenId, announcedAtMs)
+                .map(DatabaseInstance::instanceId);
+    }
+
     private void addTrace(Object event) {
         if (!traced) {
             return;
@@ -569,7 +720,7 @@
     }
 
     private void requestPromotion(SyncFailoverEffect.Promote promote, SyncGroupFailover leader) {
-        switch (random.nextInt(4)) {
+        switch (faultFree ? 3 : random.nextInt(4)) {
             case 0 ->
                 delayedPromotions.add(new DelayedPromotion(
                         promote.token(), promote.instanceId(), clock.millis() + 2_000 + random.nextInt(8_000)));
@@ -596,8 +747,12 @@
             SyncGroupFailover leader,
             Consumer<SimulatedDatabase> action,
             BiConsumer<String, ReplicaStatus> onResponse) {
-        boolean processEnded = find(id).filter(database -> database.up).isEmpty();
-        if (processEnded && find(id).map(database -> database.reachable).orElse(true)) {
+        boolean processEnded = scenario.has(Faults.OTHER_WRITERS)
+                ? registry.find(id)
+                        .filter(member -> presence(member).isProcessEnded())
+                        .isPresent()
+                : find(id).map(database -> !database.up && database.reachable).orElse(true);
+        if (processEnded) {
             leader.onConnectionRefused(id);
         }
         findReachable(id).filter(target -> !isLate(target, action)).ifPresent(database -> {
@@ -634,15 +789,18 @@
 
     /** The check fails at random, as it does while control cannot reach the address. */
     private void checkProcessEnd(LostCopy copy, SyncGroupFailover leader) {
-        boolean running = databases.stream()
-                .anyMatch(database -> database.id.equals(copy.instanceId()) && database.bornMs == copy.bornMs());
-        if (!running && random.nextInt(2) > 0) {
+        boolean running = presence(copy.incarnation()) == Presence.RUNNING;
+        if (!running && random.nextInt(2) > 0 && presence(copy.incarnation()).isProcessEnded()) {
             leader.onProcessEnded(copy);
         }
     }
 
+    /** The database that a command reaches: the one at the registered address, if it has the id. */
     private Optional<SimulatedDatabase> findReachable(String id) {
-        return find(id).filter(database -> database.up && database.reachable && random.nextInt(10) > 0);
+        return find(id).filter(database -> registry.find(id)
+                        .filter(registered -> presence(registered) == Presence.RUNNING)
+                        .isPresent())
+                .filter(database -> database.up && database.reachable && random.nextInt(10) > 0);
     }
 
     private Optional<SimulatedDatabase> find(String id) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
@@ -70,6 +70,43 @@
                 new Scenario(databases, true, promotionDelayMs, true, false, true, Set.of(Faults.UNREGISTERED_COPIES)));
     }
 
+    /**
+     * An announcement that named a replica's address took the replica out of the registry, and another one was promoted without it (review
+     * case 7). Other writers announce and deregister any id, at any service and address, once or repeatedly.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "3, 0, false",
+        "3, 300, false",
+        "3, 600, true",
+        "3, 1000, true",
+        "4, 0, true",
+        "4, 300, false",
+        "4, 600, true",
+        "4, 1000, false"
+    })
+    void noAcknowledgedCommitIsLostWhenOtherWritersAnnounceInstances(
+            int databases, long promotionDelayMs, boolean logsCanBeLost) {
+        assertNoCommitLost(otherWriters(databases, promotionDelayMs, logsCanBeLost));
+    }
+
+    /**
+     * Announcements of the addresses or ids of running databases, and of other services, right up to the crash of the primary: nobody was
+     * promoted after it, since each displaced replica was a lost copy.
+     */
+    @ParameterizedTest
+    @CsvSource({"3, 0", "3, 600", "4, 300", "4, 1000"})
+    void aReplicaIsPromotedDespiteContradictedAnnouncements(int databases, long promotionDelayMs) {
+        assertPromotesAfterAnnouncements(otherWriters(databases, promotionDelayMs, false), true, 0);
+    }
+
+    /** Announcements and departures of any kind, until 20 s before the crash: a pending resume lasts 15 s. */
+    @ParameterizedTest
+    @CsvSource({"3, 0", "3, 600", "4, 300", "4, 1000"})
+    void aReplicaIsPromotedSomeSecondsAfterAnyAnnouncements(int databases, long promotionDelayMs) {
+        assertPromotesAfterAnnouncements(otherWriters(databases, promotionDelayMs, false), false, 400);
+    }
+
     /** However late commands are carried out, the group has a primary and a receiving replica in the end. */
     @ParameterizedTest
     @CsvSource({"3, 0, true", "3, 600, true", "3, 600, false", "4, 600, false"})
@@ -118,6 +155,27 @@
         return new Scenario(databases, true, promotionDelayMs, false, false, promotionEndsAllPauses, Set.of(faults));
     }
 
+    private static Scenario otherWriters(int databases, long promotionDelayMs, boolean logsCanBeLost) {
+        return new Scenario(
+                databases, true, promotionDelayMs, logsCanBeLost, false, true, Set.of(Faults.OTHER_WRITERS));
+    }
+
+    private static void assertPromotesAfterAnnouncements(Scenario scenario, boolean contradictions, int quietSteps) {
+        OptionalInt failingSeed = IntStream.range(0, HISTORIES)
+                .parallel()
+                .filter(seed -> {
+                    SimulatedGroup group = new SimulatedGroup(scenario, seed, false);
+                    group.runAnnouncementsAndCrash(contradictions, quietSteps);
+                    return !group.isServing() || !group.lostCommitPositions.isEmpty();
+                })
+                .min();
+        failingSeed.ifPresent(seed -> {
+            SimulatedGroup replay = new SimulatedGroup(scenario, seed, true);
+            replay.runAnnouncementsAndCrash(contradictions, quietSteps);
+            throw new AssertionError(scenario + ", seed " + seed + ", trace " + replay.trace);
+        });
+    }
+
     private static void assertServesAfterFaults(Scenario scenario) {
         OptionalInt failingSeed = IntStream.range(0, HISTORIES)
                 .parallel()
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -50,7 +50,6 @@
     private Optional<String> chosenId = Optional.empty();
     private boolean concluded = true;
     private List<LostCopy> lostCopies = List.of();
-    private List<LostCopy> departedCopies = List.of();
     private List<PendingResume> pendingResumes = List.of();
     private Set<String> unsettledChoices = Set.of();
     private Optional<PrimaryProof> proof = Optional.empty();
@@ -377,8 +376,7 @@
         failover.onLogCommitEnded(true);
         concluded = true;
         members = List.of(PRIMARY, A);
-        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.2", 1), "b", 1));
-        departedCopies = lostCopies;
+        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.2", 1), "b", 1, false));
         advance(300);
         List<SyncFailoverEffect> effects = step(100);
 
@@ -769,13 +767,19 @@
         assertThat(hasChoice(step(1_100))).isEqualTo(expectedChoice);
     }
 
-    /** A member that answered once after it was refused may hold commits alone. */
-    @Test
-    void memberThatRespondsAfterRefusalsIsFenced() {
+    /**
+     * A member that answered once after it was refused may hold commits alone. So may one that announced itself, whatever the registry holds of
+     * its id: the restart of a replica whose id another writer had announced with a later start time went unnoticed.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void memberThatRespondsAfterRefusalsIsFenced(boolean responds) {
         members = List.of(PRIMARY, A, B, new MemberView("late", false, false, 100, false, 7));
         for (long atMs = 0; atMs <= 6_000; atMs += 100) {
-            if (atMs == 5_000) {
+            if (atMs == 5_000 && responds) {
                 failover.onStatus("late", replica(3, 50, 0));
+            } else if (atMs == 5_000) {
+                failover.onOutdatedAnnouncement("late");
             } else if (atMs % 300 == 0) {
                 failover.onConnectionRefused("late");
             }
@@ -800,8 +804,7 @@
     @CsvSource({"true, 60000, -1, false", "true, 60400, 60000, true", "true, 400, 0, true", "false, 400, -1, true"})
     void lostCopyIsRecoveredOnceItsProcessHasEndedAndAReplicaCoversIt(
             boolean departed, long afterMs, long endSeenAtMs, boolean expectedRecovered) {
-        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.9", 1), "c", 1));
-        departedCopies = departed ? lostCopies : List.of();
+        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.9", 1), "c", 1, !departed));
         boolean recovered = false;
         for (long atMs = 0; atMs <= afterMs; atMs += 100) {
             proof = Optional.of(new PrimaryProof(new LogPosition(3, 50), clock.millis()));
@@ -819,8 +822,7 @@
     /** A new leader has not observed the end that its predecessor observed, and checks for it again until it is certain. */
     @Test
     void endOfADepartedProcessIsCheckedUntilItIsObserved() {
-        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.9", 1), "c", 1));
-        departedCopies = lostCopies;
+        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.9", 1), "c", 1, false));
         for (int i = 0; i < 3; i++) {
             assertThat(step(0)).contains(new CheckProcessEnd(lostCopies.get(0)));
             advance(300);
@@ -878,8 +880,8 @@
         raiseToken();
         members = List.of(new MemberView("p", false, true, 0, true, 0), A, B);
         lostCopies = List.of(
-                new LostCopy("s", new Address("10.0.0.1", 1), "p", 1),
-                new LostCopy("s", new Address("10.0.0.9", 1), "c", 1));
+                new LostCopy("s", new Address("10.0.0.1", 1), "p", 1, true),
+                new LostCopy("s", new Address("10.0.0.9", 1), "c", 1, true));
         step(1_100);
         failover.onStatus("p", new ReplicaStatus(true, 1, new LogPosition(1, 95), 0));
         failover.onStatus("a", replica(1, 95, 2));
@@ -1057,7 +1059,6 @@
                 concluded,
                 members,
                 lostCopies,
-                departedCopies,
                 pendingResumes,
                 proof,
                 observedPrimaryId,
--- a/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import org.hornbeamspread.core.failover.PendingResume;
 import org.hornbeamspread.core.membership.Address;
@@ -118,7 +119,12 @@
 
     /** A lost copy from its wire form. */
     public static LostCopy lostCopy(LostInstanceCopy wire) {
-        return new LostCopy(wire.getService(), address(wire.getEndpoint()), wire.getInstanceId(), wire.getBornMs());
+        return new LostCopy(
+                wire.getService(),
+                address(wire.getEndpoint()),
+                wire.getInstanceId(),
+                wire.getBornMs(),
+                wire.getProcessEnded());
     }
 
     /** The wire form of a lost copy. */
@@ -128,6 +134,7 @@
                 .setEndpoint(endpoint(copy.address()))
                 .setInstanceId(copy.instanceId())
                 .setBornMs(copy.bornMs())
+                .setProcessEnded(copy.processEnded())
                 .build();
     }
 
@@ -150,7 +157,20 @@
         registry.restore(
                 usableInstances(state.getInstancesList()),
                 state.getDeparturesList().stream().map(RouteMessages::departure).toList(),
-                state.getLostCopiesList().stream().map(RouteMessages::lostCopy).toList());
+                state.getLostCopiesList().stream().map(RouteMessages::lostCopy).toList(),
+                namedServices(state));
+    }
+
+    /** The named services of a control state. An earlier version stored none, and had accepted the instances of every service. */
+    private static Collection<String> namedServices(ControlState state) {
+        return state.getNamedServicesCount() > 0 ? state.getNamedServicesList() : serviceNames(state.getRoutes());
+    }
+
+    /** The names of the services of a configuration. */
+    public static List<String> serviceNames(RouteConfigurationDocument configuration) {
+        return configuration.getServicesList().stream()
+                .map(RoutedServiceDefinition::getName)
+                .toList();
     }
 
     /** The wire form of an address. */
