Presence checks: a result that the routes thread refuses doesn't end the checks of an instance

A full ring of the routes thread rejected the result of a check, and the instance counted as being checked for good: announcements that contradict it would have had no response until the process restarted. Found by reading. The checks hold their own lock now, and only what follows from a result runs on the routes thread. InstanceAnnouncementsTest is unchanged and green.

--- a/control/src/main/java/org/hornbeamspread/control/routes/InstanceAnnouncements.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/InstanceAnnouncements.java
@@ -37,6 +37,7 @@
     private final InstanceRegistry registry;
     private final DatabaseLivenessTracker liveness;
     private final PresenceChecks presenceChecks;
+    private final Executor routesThread;
     private final OutdatedAnnouncements outdated;
     private final Clock clock;
     private final EventLog events;
@@ -61,7 +62,8 @@
         this.log = log;
         this.registry = registry;
         this.liveness = liveness;
-        this.presenceChecks = new PresenceChecks(databases, routesThread);
+        this.presenceChecks = new PresenceChecks(databases);
+        this.routesThread = routesThread;
         this.outdated = new OutdatedAnnouncements(clock);
         this.clock = clock;
         this.events = events;
@@ -114,11 +116,15 @@
                 .toList();
         for (DatabaseInstance instance : due) {
             sharedAddressCheckedAtMs.put(instance, nowMs);
-            presenceChecks.check(instance).thenAccept(presence -> {
-                if (presence == Presence.REPLACED) {
-                    commitEnds(List.of(instance));
-                }
-            });
+            presenceChecks
+                    .check(instance)
+                    .thenAcceptAsync(
+                            presence -> {
+                                if (presence == Presence.REPLACED) {
+                                    commitEnds(List.of(instance));
+                                }
+                            },
+                            routesThread);
         }
     }
 
@@ -131,15 +137,20 @@
         if (announced.draining() || (registered && !continued)) {
             return CompletableFuture.completedFuture(null);
         }
-        return presenceChecks.check(announced).thenCompose(presence -> {
-            if (!OutdatedAnnouncements.isReinstated(registered, continued, presence)) {
-                return CompletableFuture.completedFuture(null);
-            }
-            recordAnnouncement("reinstated", announced, Map.of(announced, presence));
-            return commit(ChangeInstances.newBuilder()
-                    .addReinstated(RouteMessages.toWire(announced))
-                    .build());
-        });
+        return presenceChecks
+                .check(announced)
+                .thenComposeAsync(
+                        presence -> OutdatedAnnouncements.isReinstated(registered, continued, presence)
+                                ? reinstate(announced, presence)
+                                : CompletableFuture.completedFuture(null),
+                        routesThread);
+    }
+
+    private CompletableFuture<Void> reinstate(DatabaseInstance announced, Presence presence) {
+        recordAnnouncement("reinstated", announced, Map.of(announced, presence));
+        return commit(ChangeInstances.newBuilder()
+                .addReinstated(RouteMessages.toWire(announced))
+                .build());
     }
 
     private void onAccepted(DatabaseInstance announced) {
@@ -156,15 +167,18 @@
             return accept(announced, List.of());
         }
         return CompletableFuture.allOf(checks.values().toArray(CompletableFuture[]::new))
-                .thenCompose(checked -> {
-                    Map<DatabaseInstance, Presence> observations = new LinkedHashMap<>();
-                    checks.forEach((instance, presence) -> observations.put(instance, presence.join()));
-                    Decision decision = AnnouncementReview.decide(announced, observations);
-                    recordAnnouncement(outcomeName(decision.outcome()), announced, observations);
-                    return decision.outcome() == Outcome.ACCEPTED
-                            ? accept(announced, decision.ended())
-                            : commitEnds(decision.ended());
-                });
+                .thenComposeAsync(checked -> decide(announced, checks), routesThread);
+    }
+
+    private CompletableFuture<Void> decide(
+            DatabaseInstance announced, Map<DatabaseInstance, CompletableFuture<Presence>> checks) {
+        Map<DatabaseInstance, Presence> observations = new LinkedHashMap<>();
+        checks.forEach((instance, presence) -> observations.put(instance, presence.join()));
+        Decision decision = AnnouncementReview.decide(announced, observations);
+        recordAnnouncement(outcomeName(decision.outcome()), announced, observations);
+        return decision.outcome() == Outcome.ACCEPTED
+                ? accept(announced, decision.ended())
+                : commitEnds(decision.ended());
     }
 
     private static String outcomeName(Outcome outcome) {
