--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -499,7 +499,7 @@
                             return;
                         }
                         FailureType failure = FailureException.of(error).type();
-                        if (SqlConnector.isNotListening(failure)) {
+                        if (SqlConnector.presence(failure).isProcessEnded()) {
                             failover.onConnectionRefused(instanceId);
                         }
                         onFailure.accept(failure);
--- a/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/SqlAdministration.java
@@ -85,11 +85,7 @@
                 connection.close();
                 return Presence.RUNNING;
             }
-            return switch (FailureException.of(error).type()) {
-                case CONNECTION_REFUSED -> Presence.NOT_LISTENING;
-                case UNKNOWN_DATABASE -> Presence.REPLACED;
-                default -> Presence.UNKNOWN;
-            };
+            return SqlConnector.presence(FailureException.of(error).type());
         });
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -409,8 +409,9 @@
      * primary that says it leads is asked too, since its announcement may come from another writer.
      */
     private List<SyncFailoverEffect> queryPauseStates(GroupSnapshot snapshot, long nowMs) {
+        Optional<MemberView> primary = primary(snapshot);
         return snapshot.members().stream()
-                .filter(member -> isAnnounced(member) && !primary(snapshot).equals(Optional.of(member)))
+                .filter(member -> isAnnounced(member) && !primary.equals(Optional.of(member)))
                 .filter(member -> pauses.isStatusNeeded(member, snapshot.token() > 0))
                 .filter(member -> isDue("pause state " + member.instanceId(), nowMs))
                 .<SyncFailoverEffect>map(member -> new AskStatus(member.instanceId()))
--- a/core/src/main/java/org/hornbeamspread/core/sql/SqlConnector.java
+++ b/core/src/main/java/org/hornbeamspread/core/sql/SqlConnector.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.route.DatabaseInstance;
+import org.hornbeamspread.core.route.Presence;
 
 /** Opens connections to databases. */
 public interface SqlConnector {
@@ -14,8 +15,12 @@
      */
     CompletableFuture<SqlConnection> connect(DatabaseInstance instance, Duration timeout);
 
-    /** Whether a failure to connect shows that the instance does not listen at its address. Others may be those of the network. */
-    static boolean isNotListening(FailureType failure) {
-        return failure == FailureType.CONNECTION_REFUSED || failure == FailureType.UNKNOWN_DATABASE;
+    /** What a failure to connect shows of the instance. Others than these two may be those of the network. */
+    static Presence presence(FailureType failure) {
+        return switch (failure) {
+            case CONNECTION_REFUSED -> Presence.NOT_LISTENING;
+            case UNKNOWN_DATABASE -> Presence.REPLACED;
+            default -> Presence.UNKNOWN;
+        };
     }
 }
