--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
-import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.LostCopy;
 import org.hornbeamspread.core.sql.ReplicaStatus;
--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
@@ -7,8 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.hornbeamspread.core.failover.SyncGroupFailover.GroupSnapshot;
-import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.LostCopy;
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaPauses.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaPauses.java
@@ -8,8 +8,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import org.hornbeamspread.core.failover.SyncGroupFailover.GroupSnapshot;
-import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.sql.ReplicaStatus;
 
 /**
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -46,7 +46,7 @@
  *       repeated until it has a definite result, as long as the candidate still holds every acknowledged commit: a request
  *       without a result may be carried out much later. Until there is a result, no replica is resumed.
  *   <li>The end of the promotion is committed to the log. An accepted request takes effect after a delay, and the old primary
- *       may lead until then. The other replicas are resumed only once the promoted instance has announced that it leads.
+ *       may lead until then. The other replicas are resumed only once the promoted instance was observed to lead.
  * </ol>
  *
  * <p>A leader that finds an unfinished promotion starts again with its own token. The instance chosen earlier remains the
@@ -65,6 +65,7 @@
     private final FencingState fencing;
     private final ReplicaCoverage coverage;
     private final ReplicaPauses pauses;
+    private final PromotionTakeover takeover;
     private final Map<String, Long> commandsSentAtMs = new HashMap<>();
 
     /** The token that this leader raised; 0 for none. */
@@ -96,18 +97,6 @@
     /** The instance that the latest proof refers to; empty before the first. */
     private Optional<String> provenPrimaryId = Optional.empty();
 
-    /** The token of the latest promotion that this leader observed as concluded; -1 before the first. */
-    private long concludedToken = -1;
-
-    /** When that promotion was accepted, or first observed as accepted; far in the past if none was requested. */
-    private long promotionAcceptedAtMs;
-
-    /** Whether the promoted instance was not yet the primary at the last check. */
-    private boolean takeoverPending;
-
-    /** Whether the promoted instance has responded as the primary. Its announcement alone may come from another writer. */
-    private boolean takeoverObserved;
-
     /**
      * Creates the failover of a group under a new leader.
      *
@@ -119,68 +108,10 @@
         this.fencing = new FencingState(clock, timings);
         this.coverage = new ReplicaCoverage(clock, timings);
         this.pauses = new ReplicaPauses(clock, leaderTerm);
+        this.takeover = new PromotionTakeover(clock, timings, fencing);
         this.lastPrimaryProofAtMs = clock.millis() + timings.initialDetectionMs() - timings.detectionMs();
     }
 
-    /**
-     * A member of the group.
-     *
-     * @param instanceId the member's id
-     * @param draining whether the member is draining before it departs
-     * @param primary whether the member reports that it is the primary
-     * @param silentMs time since the member's last announcement to this leader
-     * @param logUnproven whether another incarnation at the member's address was lost, possibly with acknowledged commits
-     * @param bornMs the start time of the member's process, in ms since 1970; 0 if it is unknown
-     */
-    public record MemberView(
-            String instanceId, boolean draining, boolean primary, long silentMs, boolean logUnproven, long bornMs) {}
-
-    /**
-     * The state of the group that the next effects are decided from.
-     *
-     * @param token the token of the latest promotion in the log; 0 for none
-     * @param chosenId the candidate of that promotion, once chosen
-     * @param unsettledChoices candidates chosen under earlier tokens; requests for them may be in flight, or accepted and about to
-     *     take effect
-     * @param concluded whether the latest promotion is concluded
-     * @param members current members
-     * @param lostCopies logs that may have been lost with a database, and have not been recovered
-     * @param pendingResumes resumes of any leader in the log that have not ended
-     * @param primaryProof the latest proof that this leader obtained itself, if it is of the observed primary
-     * @param observedPrimaryId the instance that the proof, its age and the stalled writes refer to
-     * @param primaryProofAgeMs time since any observer last had proof that the primary works
-     * @param stalledWriteMs how long writes have waited at the primary while none succeeded; 0 for none
-     * @param connectionRefused whether the primary's address refuses connections
-     * @param unreachableFromProxies whether too many proxies cannot reach the primary, although it works
-     */
-    public record GroupSnapshot(
-            long token,
-            Optional<String> chosenId,
-            Set<String> unsettledChoices,
-            boolean concluded,
-            List<MemberView> members,
-            List<LostCopy> lostCopies,
-            List<PendingResume> pendingResumes,
-            Optional<PrimaryProof> primaryProof,
-            Optional<String> observedPrimaryId,
-            long primaryProofAgeMs,
-            long stalledWriteMs,
-            boolean connectionRefused,
-            boolean unreachableFromProxies) {
-        /** Copies the collections. */
-        public GroupSnapshot {
-            unsettledChoices = Set.copyOf(unsettledChoices);
-            members = List.copyOf(members);
-            lostCopies = List.copyOf(lostCopies);
-            pendingResumes = List.copyOf(pendingResumes);
-        }
-
-        /** The lost copies whose process is not known to have ended. */
-        List<LostCopy> possiblyRunningCopies() {
-            return lostCopies.stream().filter(copy -> !copy.processEnded()).toList();
-        }
-    }
-
     /** Decides the next effects. Called at each tick and after each report. */
     public List<SyncFailoverEffect> step(GroupSnapshot snapshot) {
         long nowMs = clock.millis();
@@ -326,8 +257,7 @@
         boolean draining = primary.isPresent() && primary.get().draining();
         boolean demotable = primary.isEmpty() || !primary.get().logUnproven();
         // Until the promotion timeout, a repeated request of the last promotion may take effect and undo a demotion.
-        boolean noPromotionPending =
-                snapshot.token() == 0 || nowMs - promotionAcceptedAtMs > timings.promotionTimeoutMs();
+        boolean noPromotionPending = snapshot.token() == 0 || !takeover.mayTakeEffect();
         if (isPrimaryUnsettled(snapshot, nowMs)) {
             List<SyncFailoverEffect> effects = raiseToken(snapshot);
             settlesPrimary = true;
@@ -343,7 +273,7 @@
             return effects;
         }
         List<SyncFailoverEffect> effects = new ArrayList<>(queryTakeover(snapshot, nowMs));
-        if (!awaitsObservedTakeover(snapshot, nowMs)) {
+        if (!takeover.awaitsObservedLead(snapshot)) {
             effects.addAll(resumeReplicas(snapshot, nowMs));
         }
         effects.addAll(queryPauseStates(snapshot, nowMs));
@@ -452,15 +382,8 @@
     }
 
     private Optional<String> candidate(GroupSnapshot snapshot) {
-        long exempt = snapshot.members().stream()
-                .filter(member -> !fencing.isRespondingReplica(member.instanceId()))
-                .filter(member -> coverage.needsNoFencing(member))
-                .count();
         return fencing.candidate(
-                snapshot.members(),
-                snapshot.members().size() - exempt + snapshot.lostCopies().size(),
-                pauses.unreliableIds(snapshot),
-                isPrimaryReachable(snapshot));
+                snapshot.members(), copyCount(snapshot), pauses.unreliableIds(snapshot), isPrimaryReachable(snapshot));
     }
 
     /**
@@ -484,70 +407,28 @@
     /**
      * Whether an accepted promotion may not have taken effect yet. Until it has, the previous primary may still lead: a resumed
      * replica would acknowledge commits for that primary, and another promotion would rely on state that the first one is about
-     * to undo. An instance that departs in the meantime takes over as long as its process runs.
+     * to undo.
      */
     private boolean awaitsTakeover(GroupSnapshot snapshot, long nowMs) {
-        if (concludedToken != snapshot.token()) {
-            concludedToken = snapshot.token();
-            beginTakeover(nowMs);
-        }
-        Optional<MemberView> promoted = promotedMember(snapshot);
-        takeoverObserved |=
-                promoted.filter(member -> isLeadObserved(snapshot, member)).isPresent();
-        boolean ownPromotion = concludedToken == ownToken;
-        boolean promotedNotLeading = promoted.filter(member -> !member.primary()
-                        || (ownPromotion && (!takeoverObserved || member.silentMs() >= nowMs - promotionAcceptedAtMs)))
-                .isPresent();
-        promotedNotLeading |=
-                snapshot.chosenId().filter(fencing::isDepartedAndRunning).isPresent();
+        takeover.update(snapshot);
+        boolean ownPromotion = snapshot.token() == ownToken;
+        boolean promotedNotLeading = takeover.isPromotedNotLeading(snapshot, ownPromotion);
         boolean earlierRequestPending = (earlierPromotionPending && ownPromotion)
                 || !snapshot.unsettledChoices().isEmpty();
-        if ((promotedNotLeading || earlierRequestPending)
-                && nowMs - promotionAcceptedAtMs <= timings.promotionTimeoutMs()) {
+        if ((promotedNotLeading || earlierRequestPending) && takeover.mayTakeEffect()) {
             return true;
         }
-        if (takeoverPending) {
-            takeoverPending = false;
-            boolean waitedForTakeover = promotionAcceptedAtMs < nowMs;
-            lastPrimaryProofAtMs = Math.max(
-                    lastPrimaryProofAtMs, waitedForTakeover && !promotedNotLeading ? nowMs : lastPrimaryProofAtMs);
+        if (takeover.end() && !promotedNotLeading) {
+            lastPrimaryProofAtMs = Math.max(lastPrimaryProofAtMs, nowMs);
         }
         return false;
     }
 
-    private void beginTakeover(long nowMs) {
-        promotionAcceptedAtMs = nowMs;
-        takeoverPending = true;
-        takeoverObserved = false;
-    }
-
-    private static Optional<MemberView> promotedMember(GroupSnapshot snapshot) {
-        return snapshot.members().stream()
-                .filter(member -> snapshot.chosenId().equals(Optional.of(member.instanceId())))
-                .findFirst();
-    }
-
-    /** Whether an instance has responded as the primary to a status request, or has proven that it leads since the promotion was accepted. */
-    private boolean isLeadObserved(GroupSnapshot snapshot, MemberView member) {
-        boolean proven = snapshot.observedPrimaryId().equals(Optional.of(member.instanceId()))
-                && clock.millis() - snapshot.primaryProofAgeMs() >= promotionAcceptedAtMs;
-        return proven
-                || fencing.recentStatus(member.instanceId())
-                        .filter(ReplicaStatus::primary)
-                        .isPresent();
-    }
-
-    /** Whether a promoted instance has not responded as the primary yet, while its promotion may still be about to take effect. */
-    private boolean awaitsObservedTakeover(GroupSnapshot snapshot, long nowMs) {
-        return !takeoverObserved
-                && nowMs - promotionAcceptedAtMs <= timings.promotionTimeoutMs()
-                && promotedMember(snapshot).isPresent();
-    }
-
     /** Requests the status of a promoted instance that has announced that it leads. */
     private List<SyncFailoverEffect> queryTakeover(GroupSnapshot snapshot, long nowMs) {
-        return promotedMember(snapshot)
-                .filter(member -> member.primary() && awaitsObservedTakeover(snapshot, nowMs))
+        return snapshot
+                .promotedMember()
+                .filter(member -> member.primary() && takeover.awaitsObservedLead(snapshot))
                 .filter(member -> isDue("takeover", nowMs))
                 .<SyncFailoverEffect>map(member -> new AskStatus(member.instanceId()))
                 .stream()
@@ -592,8 +473,7 @@
             if (earlierPromotionPending) {
                 return List.of(keepPrimary);
             }
-            concludedToken = ownToken;
-            promotionAcceptedAtMs = nowMs - timings.promotionTimeoutMs() - 1;
+            takeover.skip(ownToken);
             return List.of(keepPrimary, new Conclude(ownToken, primary.get().instanceId()));
         }
         if (settlesPrimary && fencing.elapsedMs() <= timings.initialDetectionMs()) {
@@ -711,8 +591,7 @@
                 return List.of();
             }
             lastPrimaryProofAtMs = nowMs;
-            concludedToken = ownToken;
-            beginTakeover(nowMs);
+            takeover.begin(ownToken);
             logCommitPending = true;
             return List.of(new Conclude(ownToken, chosenId, snapshot.unsettledChoices()));
         }
@@ -734,7 +613,7 @@
     /** Whether the candidate is the primary itself, for which a promotion request changes nothing. */
     private boolean isCurrentPrimary(GroupSnapshot snapshot, String chosenId) {
         return primary(snapshot)
-                .filter(member -> member.instanceId().equals(chosenId) && isLeadObserved(snapshot, member))
+                .filter(member -> member.instanceId().equals(chosenId) && takeover.isLeadObserved(snapshot, member))
                 .isPresent();
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -13,8 +13,6 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.hornbeamspread.core.failover.SyncGroupFailover.GroupSnapshot;
-import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.core.route.AnnouncementReview;
 import org.hornbeamspread.core.route.AnnouncementReview.Decision;
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -19,8 +19,6 @@
 import org.hornbeamspread.core.failover.SyncFailoverEffect.RaiseToken;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.Recover;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.Resume;
-import org.hornbeamspread.core.failover.SyncGroupFailover.GroupSnapshot;
-import org.hornbeamspread.core.failover.SyncGroupFailover.MemberView;
 import org.hornbeamspread.core.membership.Address;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
