A start that has not taken place leaves no lost copy at a reinstatement

In random histories with other writers nobody was promoted any more after the crash or the demotion of the primary. Cause: another writer had announced a later start of a running replica. When the replica was reinstated, since it continued to announce itself and responded, the start that had never taken place became a lost copy, which counts until a proven primary has covered it; after the crash there is none. A lost copy of the same place stood for the earlier losses too, so that it could not simply be dropped. Why it works: two processes never listen at one address. The instance that announces itself for 3 s while the registered one is silent, and that responds, is the process at this place, so that the announced one has not started. A lost copy carries the start time of the earliest incarnation that it stands for; on a reinstatement only the incarnations before the running one stay. The command names the incarnation that it displaces and has no effect if another one was registered meanwhile.

--- a/control/src/main/java/org/hornbeamspread/control/routes/InstanceAnnouncements.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/InstanceAnnouncements.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -137,19 +138,23 @@
         if (announced.draining() || (registered && !continued)) {
             return CompletableFuture.completedFuture(null);
         }
+        OptionalLong displacedBornMs = registry.find(announced.instanceId()).stream()
+                .mapToLong(DatabaseInstance::bornMs)
+                .findFirst();
         return presenceChecks
                 .check(announced)
                 .thenComposeAsync(
                         presence -> OutdatedAnnouncements.isReinstated(registered, continued, presence)
-                                ? reinstate(announced, presence)
+                                ? reinstate(announced, displacedBornMs, presence)
                                 : CompletableFuture.completedFuture(null),
                         routesThread);
     }
 
-    private CompletableFuture<Void> reinstate(DatabaseInstance announced, Presence presence) {
+    private CompletableFuture<Void> reinstate(
+            DatabaseInstance announced, OptionalLong displacedBornMs, Presence presence) {
         recordAnnouncement("reinstated", announced, Map.of(announced, presence));
         return commit(ChangeInstances.newBuilder()
-                .addReinstated(RouteMessages.toWire(announced))
+                .addReinstated(RouteMessages.toWire(announced, displacedBornMs))
                 .build());
     }
 
--- a/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
+++ b/control/src/main/java/org/hornbeamspread/control/state/ControlStateMachine.java
@@ -26,6 +26,7 @@
 import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.PendingInstanceResume;
 import org.hornbeamspread.protocol.schema.RegisteredDatabase;
+import org.hornbeamspread.protocol.schema.ReinstatedInstance;
 import org.hornbeamspread.protocol.schema.ReplaceConfiguration;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.SetDepartures;
@@ -242,7 +243,10 @@
     private Optional<FailureException> changeInstances(ChangeInstances change) {
         change.getEndedList().forEach(ended -> instances.end(RouteMessages.lostCopy(ended)));
         RouteMessages.usableInstances(change.getAnnouncedList()).forEach(instances::announce);
-        RouteMessages.usableInstances(change.getReinstatedList()).forEach(instances::reinstate);
+        for (ReinstatedInstance reinstated : change.getReinstatedList()) {
+            RouteMessages.usableInstances(List.of(reinstated.getInstance()))
+                    .forEach(running -> instances.reinstate(running, RouteMessages.displacedBornMs(reinstated)));
+        }
         change.getDepartedList().forEach(departed -> instances.depart(RouteMessages.departure(departed)));
         instances.markRecovered(
                 change.getRecoveredList().stream().map(RouteMessages::lostCopy).toList());
--- a/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
+++ b/core/src/main/java/org/hornbeamspread/core/route/InstanceRegistry.java
@@ -9,6 +9,7 @@
 import java.util.NavigableMap;
 import java.util.NavigableSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -35,7 +36,7 @@
     private final NavigableMap<String, DatabaseInstance> instances = new TreeMap<>();
     private final Deque<Departure> departures = new ArrayDeque<>();
 
-    /** The latest lost copy of each id at an address of a service: of those whose process has ended, and of the others. */
+    /** The lost copy of each id at an address of a service: of the incarnations whose process has ended, and of the others. */
     private final NavigableMap<CopyKey, LostCopy> lostCopies = new TreeMap<>(Comparator.comparing(CopyKey::service)
             .thenComparing(key -> key.address().host())
             .thenComparingInt(key -> key.address().port())
@@ -132,12 +133,23 @@
 
     /**
      * Registers an instance that was observed to run, although a departure of its id or a later announcement has been applied: they came from
-     * another writer.
+     * another writer. A later start that was announced at its place has not taken place, so that no copy was lost with it.
+     *
+     * @param displacedBornMs the start time of the incarnation that was registered when the running one was observed; empty if the id had
+     *     departed. The call has no effect if that has changed
      */
-    public void reinstate(DatabaseInstance running) {
-        if (classify(running) == AnnouncementStatus.UNNAMED_SERVICE) {
+    public void reinstate(DatabaseInstance running, OptionalLong displacedBornMs) {
+        DatabaseInstance displaced = instances.get(running.instanceId());
+        boolean changed = displaced == null
+                ? displacedBornMs.isPresent()
+                : !displacedBornMs.equals(OptionalLong.of(displaced.bornMs()));
+        if (changed || classify(running) == AnnouncementStatus.UNNAMED_SERVICE) {
             return;
         }
+        if (displaced != null && isAtSamePlace(displaced, running)) {
+            instances.remove(running.instanceId());
+            dropStartsSince(running);
+        }
         departures.removeIf(departure ->
                 departure.instanceId().equals(running.instanceId()) && departure.bornMs() >= running.bornMs());
         put(running, true);
@@ -206,7 +218,7 @@
 
     /** Removes the lost copies of exactly these incarnations; that of a later incarnation of the id at the same address stays. */
     public void markRecovered(Collection<LostCopy> recovered) {
-        lostCopies.values().removeIf(copy -> recovered.stream().anyMatch(copy::isSameIncarnation));
+        lostCopies.values().removeIf(copy -> recovered.stream().anyMatch(copy::isOfSameIncarnations));
     }
 
     /**
@@ -260,10 +272,14 @@
     }
 
     private void addLostCopy(LostCopy added) {
-        lostCopies.merge(
-                CopyKey.of(added, added.processEnded()),
-                added,
-                (retained, copy) -> copy.bornMs() < retained.bornMs() ? retained : copy);
+        lostCopies.merge(CopyKey.of(added, added.processEnded()), added, LostCopy::mergedWith);
+    }
+
+    /** Drops the lost copies of incarnations that ended at an instance's place, and that were announced to have started no earlier. */
+    private void dropStartsSince(DatabaseInstance running) {
+        lostCopies.computeIfPresent(
+                CopyKey.of(LostCopy.of(running, true), true),
+                (key, ended) -> ended.startedBefore(running.bornMs()).orElse(null));
     }
 
     private static boolean isAtSamePlace(DatabaseInstance first, DatabaseInstance second) {
--- a/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
+++ b/protocol/src/main/java/org/hornbeamspread/transport/RouteMessages.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
+import java.util.OptionalLong;
 import org.hornbeamspread.core.failover.PendingResume;
 import org.hornbeamspread.core.membership.Address;
 import org.hornbeamspread.core.misc.FailureException;
@@ -22,6 +23,7 @@
 import org.hornbeamspread.protocol.schema.LostInstanceCopy;
 import org.hornbeamspread.protocol.schema.PendingInstanceResume;
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
+import org.hornbeamspread.protocol.schema.ReinstatedInstance;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.hornbeamspread.protocol.schema.RouteDefinition;
 import org.hornbeamspread.protocol.schema.RoutedServiceDefinition;
@@ -75,6 +77,18 @@
         return usable;
     }
 
+    /** The wire form of a reinstated instance. */
+    public static ReinstatedInstance toWire(DatabaseInstance running, OptionalLong displacedBornMs) {
+        ReinstatedInstance.Builder reinstated = ReinstatedInstance.newBuilder().setInstance(toWire(running));
+        displacedBornMs.ifPresent(reinstated::setDisplacedBornMs);
+        return reinstated.build();
+    }
+
+    /** The start time of the incarnation that a reinstated instance displaces; empty if there was none. */
+    public static OptionalLong displacedBornMs(ReinstatedInstance wire) {
+        return wire.hasDisplacedBornMs() ? OptionalLong.of(wire.getDisplacedBornMs()) : OptionalLong.empty();
+    }
+
     /** An instance from its wire form. Fails with INVALID_REQUEST if it does not name a usable database. */
     public static DatabaseInstance instance(RegisteredInstance wire) {
         return new DatabaseInstance(
@@ -124,18 +138,22 @@
                 address(wire.getEndpoint()),
                 wire.getInstanceId(),
                 wire.getBornMs(),
+                wire.hasEarliestBornMs() ? wire.getEarliestBornMs() : wire.getBornMs(),
                 wire.getProcessEnded());
     }
 
     /** The wire form of a lost copy. */
     public static LostInstanceCopy toWire(LostCopy copy) {
-        return LostInstanceCopy.newBuilder()
+        LostInstanceCopy.Builder wire = LostInstanceCopy.newBuilder()
                 .setService(copy.service())
                 .setEndpoint(endpoint(copy.address()))
                 .setInstanceId(copy.instanceId())
                 .setBornMs(copy.bornMs())
-                .setProcessEnded(copy.processEnded())
-                .build();
+                .setProcessEnded(copy.processEnded());
+        if (copy.earliestBornMs() != copy.bornMs()) {
+            wire.setEarliestBornMs(copy.earliestBornMs());
+        }
+        return wire.build();
     }
 
     /** A pending resume of its wire form. */
