--- a/review/standin-3/Handover.java
+++ b/review/standin-3/Handover.java
@@ -1,5 +1,6 @@
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Review case: the primary is replaced while its replicas receive nothing for three seconds. A proxy is killed and starts again
@@ -13,6 +14,7 @@
     private static final long STABLE_WINDOW_MS = 4_000;
     private static final long END_AFTER_ACK_MS = 10_500;
     private static final long WRITE_INTERVAL_MS = 40;
+    private static final AtomicLong NEXT_ID = new AtomicLong();
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -24,7 +26,7 @@
                 Thread.sleep(5);
                 return List.of("row");
             };
-            store.addReplica("i-4", system.deployment.prefix + "5.4");
+            store.addReplica("i-4", system.deployment.prefix + "5.4", system.core.stream().map(node -> node.host).toList());
             Deployment.Node restarted = system.proxies.get(1);
             system.proxies.forEach(proxy -> Store.daemon(() -> write(record, proxy)));
             Thread.sleep(2_500);
@@ -74,10 +76,10 @@
     }
 
     /** Writes at an interval, and opens a new session whenever one ends. */
-    private static void write(Record record, Deployment.Node proxy) throws InterruptedException {
-        for (int i = 0; ; i++) {
+    static void write(Record record, Deployment.Node proxy) throws InterruptedException {
+        while (true) {
             try (Session session = new Session(record, proxy.host, "books")) {
-                while (session.query(proxy.name + "-" + i + "-" + record.elapsedMs(), "WRITE k" + i % 50 + " 1").complete()) {
+                while (session.query(proxy.name + "-" + NEXT_ID.incrementAndGet(), "WRITE k 1").complete()) {
                     Thread.sleep(WRITE_INTERVAL_MS);
                 }
             } catch (java.io.IOException e) {
--- a/review/standin-3/Store.java
+++ b/review/standin-3/Store.java
@@ -29,6 +29,9 @@
     private static final int MAX_LINE_BYTES = (1 << 20) + 2;
     private static final long HEARTBEAT_MS = 1_000;
 
+    /** The time from a promotion's call until the database leads. */
+    private static final long PROMOTE_MS = 600;
+
     /** How a database serves a statement that takes a slot: how long it works, and the rows that it returns. */
     interface Work {
         List<String> run(String id, String text) throws InterruptedException;
@@ -47,9 +50,16 @@
     private volatile boolean closed;
     private long term = 1;
 
-    /** Ids of the commits that took effect. */
+    /** Ids of the commits that were acknowledged. */
     final List<String> committedIds = new CopyOnWriteArrayList<>();
 
+    /** Ids of the commits that were acknowledged and are missing in the log of a database that was promoted later. */
+    final List<String> lostIds = new CopyOnWriteArrayList<>();
+
+    private final List<Commit> commits = new CopyOnWriteArrayList<>();
+
+    private record Commit(String id, long number) {}
+
     final List<Run> runs = new CopyOnWriteArrayList<>();
 
     /**
@@ -71,7 +81,10 @@
         platform.createContext("/promote", exchange -> {
             String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
             record.add("promote " + body);
-            promote(body);
+            daemon(() -> {
+                Thread.sleep(PROMOTE_MS);
+                promote(body);
+            });
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
         });
@@ -80,9 +93,10 @@
         replicate();
     }
 
-    /** Starts a further replica, which receives the whole log. */
-    void addReplica(String id, String host) {
+    /** Starts a further replica, which receives the whole log and calls the members in the given order. */
+    void addReplica(String id, String host, List<String> hosts) {
         Database added = new Database(id, host, false);
+        added.hosts = List.copyOf(hosts);
         databases.add(added);
         added.start();
         record.add(id + " starts as a replica");
@@ -93,6 +107,9 @@
     private synchronized void promote(String body) {
         databases.stream().filter(database -> body.contains("\"" + database.id + "\"")).forEach(chosen -> {
             if (!chosen.primary) {
+                commits.stream()
+                        .filter(commit -> commit.number() > chosen.number)
+                        .forEach(commit -> lostIds.add(commit.id()));
                 term++;
                 chosen.logTerm = term;
                 for (Database database : databases) {
@@ -136,6 +153,7 @@
             wait(100);
         }
         committedIds.add(id);
+        commits.add(new Commit(id, own));
     }
 
     @Override
@@ -166,6 +184,10 @@
         volatile long drainingAckedMs;
 
         volatile boolean started;
+
+        /** The control members, in the order in which the database calls them. */
+        List<String> hosts = controlHosts;
+
         private volatile boolean ended;
 
         /** The position of the log. */
@@ -195,8 +217,13 @@
 
         /** Ends the process: deregisters, and closes every connection. */
         void end() {
-            ended = true;
             call("deregister", "{\"born\":" + bornMs + "}");
+            crash();
+        }
+
+        /** The process ends, and sends nothing any more. */
+        void crash() {
+            ended = true;
             record.add(id + " ends");
             ownResources.forEach(Store::closeQuietly);
             synchronized (Store.this) {
@@ -252,7 +279,7 @@
 
         /** Calls one member after the other until one acknowledges. */
         private boolean call(String name, String body) {
-            for (String control : controlHosts) {
+            for (String control : hosts) {
                 try {
                     HttpResponse<Void> answer = http.send(
                             HttpRequest.newBuilder(URI.create("http://" + control + ":" + Deployment.CONTROL_PORT
