--- a/review/standin-3/Deployment.java
+++ b/review/standin-3/Deployment.java
@@ -80,7 +80,7 @@
         /** Sends a signal to this process alone. */
         void signal(String signal) throws Exception {
             record.add("SIG" + signal + " to " + name);
-            new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
+            new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         }
 
         boolean isListening() {
