--- a/review/standin-3/FirstStart.java
+++ b/review/standin-3/FirstStart.java
@@ -4,7 +4,7 @@
 
 /** Review case: a core machine is lost during the first start of the whole system. */
 final class FirstStart {
-    private static final long KILL_AFTER_MS = 250;
+    private static final long KILL_AFTER_MS = 50;
     private static final long REPLACEMENT_AFTER_MS = 2_000;
     private static final long STABLE_WINDOW_MS = 4_000;
     private static final long ACK_TIMEOUT_MS = 5_000;
