Proxies report the latest commit that they have acknowledged; promotion evidence and lost commits show it

Logs could not distinguish its hypotheses: the evidence of a choice has the statuses that responded, and nothing of what had been acknowledged.

Each proxy tracks two bounds of its latest acknowledged commit of each service: the end of the primary's log in the response (it may include entries that no replica holds), and the position after the one that it had observed before the commit was sent. They go to the leader with the watch request, when they have changed. promotion_evidence carries them, and acknowledged_commit_missing says that a primary which proved its lead after a report lacks the reported commit. The messages of a seal are defined here and not used yet. Older proxies report nothing, and older control members ignore the field.

--- a/control/src/main/java/org/hornbeamspread/control/routes/PublishedView.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/PublishedView.java
@@ -8,6 +8,7 @@
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.PromotedInstance;
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
+import org.hornbeamspread.protocol.schema.SealedService;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 
 /**
@@ -29,6 +30,7 @@
 
     private List<Endpoint> controlPeers = List.of();
     private List<PromotedInstance> promoted = List.of();
+    private List<SealedService> seals = List.of();
 
     /** Incremented with each change; 0 before the first. */
     private long version;
@@ -44,6 +46,7 @@
         removedAtVersion.clear();
         controlPeers = List.of();
         promoted = List.of();
+        seals = List.of();
         version = 0;
         oldestDeltaVersion = 0;
     }
@@ -53,14 +56,23 @@
     }
 
     /** Replaces the state; the version increases if anything has changed. */
-    void publish(List<RegisteredInstance> newInstances, List<Endpoint> newPeers, List<PromotedInstance> newPromoted) {
+    void publish(
+            List<RegisteredInstance> newInstances,
+            List<Endpoint> newPeers,
+            List<PromotedInstance> newPromoted,
+            List<SealedService> newSeals) {
         long nextVersion = version + 1;
         boolean instancesChanged = applyInstances(newInstances, nextVersion);
-        if (instancesChanged || version == 0 || !newPeers.equals(controlPeers) || !newPromoted.equals(promoted)) {
+        if (instancesChanged
+                || version == 0
+                || !newPeers.equals(controlPeers)
+                || !newPromoted.equals(promoted)
+                || !newSeals.equals(seals)) {
             version = nextVersion;
         }
         controlPeers = List.copyOf(newPeers);
         promoted = List.copyOf(newPromoted);
+        seals = List.copyOf(newSeals);
     }
 
     /** The whole state. */
@@ -95,7 +107,8 @@
                 .setSystemVersion(version)
                 .setChanged(true)
                 .addAllControlPeers(controlPeers)
-                .addAllPromoted(promoted);
+                .addAllPromoted(promoted)
+                .addAllSealed(seals);
     }
 
     private boolean applyInstances(List<RegisteredInstance> newInstances, long nextVersion) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hornbeamspread.control.ReplicatedLog;
+import org.hornbeamspread.core.failover.CommitReports;
 import org.hornbeamspread.core.failover.GroupSnapshot;
 import org.hornbeamspread.core.failover.MemberView;
 import org.hornbeamspread.core.failover.ObservedPrimary;
@@ -122,10 +123,20 @@
         return group == null || group.settled;
     }
 
+    /** Handles reports of proxies under a seal. */
+    void onCommitReports() {
+        List.copyOf(groups.values()).stream()
+                .filter(group -> group.failover.seal().isPresent())
+                .forEach(DatabaseGroup::advance);
+    }
+
     void tick(Supplier<ControlState> state, InstanceRegistry registry, Map<String, Long> announcementTimesMs) {
         databases.retainConnections(registry.all());
         TreeSet<String> services = new TreeSet<>();
         registry.all().forEach(instance -> services.add(instance.service()));
+        groups.keySet().stream()
+                .filter(service -> !services.contains(service))
+                .forEach(service -> watchingProxies.seal(service, Optional.empty()));
         groups.keySet().retainAll(services);
         for (String service : services) {
             DatabaseGroup group = groups.computeIfAbsent(service, name -> new DatabaseGroup(name));
@@ -164,7 +175,8 @@
                 0,
                 0,
                 false,
-                false);
+                false,
+                CommitReports.NONE);
 
         DatabaseGroup(String service) {
             this.service = service;
@@ -197,9 +209,9 @@
                 return;
             }
             GroupSnapshot snapshot = snapshotSupplier.get();
-            for (SyncFailoverEffect effect : failover.step(snapshot)) {
-                apply(effect, snapshot);
-            }
+            List<SyncFailoverEffect> effects = failover.step(snapshot);
+            watchingProxies.seal(service, failover.seal());
+            effects.forEach(effect -> apply(effect, snapshot));
             if (!settled && clock.millis() - evidenceLoggedAtMs > EVIDENCE_LOG_INTERVAL_MS) {
                 logEvidence(snapshot);
             }
@@ -218,6 +230,8 @@
                     failover.copyCount(snapshot),
                     "lost_copies",
                     snapshot.lostCopies(),
+                    "acknowledged",
+                    snapshot.commitReports(),
                     "answers",
                     failover.describeStatuses(snapshot));
         }
@@ -258,7 +272,8 @@
                     proofAgeMs,
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
                     probe.isRefused(),
-                    primaryId.filter(this::isUnreachableFromProxies).isPresent());
+                    primaryId.filter(this::isUnreachableFromProxies).isPresent(),
+                    watchingProxies.commitReports(service));
         }
 
         private boolean isUnreachableFromProxies(String primaryId) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -7,9 +7,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.hornbeamspread.core.failover.CommitReports;
+import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
+import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.LogPosition;
+import org.hornbeamspread.protocol.schema.CommitReport;
 import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.ControlState;
 import org.hornbeamspread.protocol.schema.Endpoint;
@@ -59,10 +63,15 @@
     private final Map<String, Proof> proofs = new HashMap<>();
 
     private final ClockJumpDetector clockJumpDetector;
+    private final ReportedCommits commits = new ReportedCommits();
+    private final EventLog events;
     private long clockEpoch;
+    private List<RegisteredInstance> visibleInstances = List.of();
+    private List<ControlMember> controlMembers = List.of();
 
-    WatchingProxies(Clock clock, ClockJumpDetector clockJumpDetector) {
+    WatchingProxies(Clock clock, ClockJumpDetector clockJumpDetector, EventLog events) {
         this.clock = clock;
+        this.events = events;
         this.clockJumpDetector = clockJumpDetector;
     }
 
@@ -77,6 +86,50 @@
         if (probeClockEpoch == clockEpoch) {
             proofs.put(service, new Proof(instanceId, position, probeSentAtMs));
         }
+        commits.onProof(service, position, probeSentAtMs)
+                .ifPresent(missing -> events.record(
+                        "acknowledged_commit_missing",
+                        "service",
+                        service,
+                        "instance",
+                        instanceId,
+                        "position",
+                        position,
+                        "acknowledged",
+                        missing));
+    }
+
+    /**
+     * Asks all proxies to acknowledge no more commits of a service's primary, or ends that.
+     *
+     * @param seal empty if no seal is to be in force
+     */
+    void seal(String service, Optional<Seal> seal) {
+        if (commits.seal(service, seal)) {
+            events.record(
+                    "service_seal",
+                    "service",
+                    service,
+                    "seal",
+                    seal.map(Seal::toString).orElse("ended"));
+            publish(state, visibleInstances, controlMembers);
+        }
+    }
+
+    /** What proxies have reported of a service's acknowledged commits. */
+    CommitReports commitReports(String service) {
+        long token = commits.sealToken(service);
+        boolean pending = token > 0
+                && recentWatchers().stream()
+                        .anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
+        return new CommitReports(commits.acknowledged(service), pending);
+    }
+
+    private List<Watcher> recentWatchers() {
+        long nowMs = clock.millis();
+        return watchers.values().stream()
+                .filter(watcher -> nowMs - watcher.receivedAtMs <= 2 * holdMs())
+                .toList();
     }
 
     long clockEpoch() {
@@ -89,11 +142,7 @@
      * recent watch request count as reaching it: they may be the ones that are partitioned.
      */
     double unreachableShare(String instanceId, long longerThanMs) {
-        long nowMs = clock.millis();
-        List<Watcher> recentWatchers = watchers.values().stream()
-                .filter(watcher -> nowMs - watcher.receivedAtMs <= 2 * holdMs())
-                .toList();
-        double unreachable = recentWatchers.stream()
+        double unreachable = recentWatchers().stream()
                 .flatMap(watcher -> watcher.request.getObservationsList().stream())
                 .filter(observation -> observation.getInstanceId().equals(instanceId))
                 .filter(observation -> observation.getUnreachableMs() > longerThanMs)
@@ -112,25 +161,35 @@
     void onLeadershipGained(long term) {
         leaderTerm = term;
         view.reset();
+        commits.onLeadershipGained();
     }
 
-    void watch(WatchSystem request, Consumer<Envelope> callback) {
+    /** Handles a watch request. Returns whether a report under a seal came with it. */
+    boolean watch(WatchSystem request, Consumer<Envelope> callback) {
         Watcher watcher = watchers.computeIfAbsent(request.getProxyId(), id -> new Watcher());
         watcher.request = request;
         watcher.receivedAtMs = clock.millis();
         watcher.replyCallback = Optional.of(callback);
+        watcher.sealedTokens.clear();
+        for (CommitReport report : request.getCommitsList()) {
+            commits.onReport(report, watcher.receivedAtMs);
+            watcher.sealedTokens.put(report.getService(), report.getSealedToken());
+        }
         if (!isUpToDate(request) || request.getPositionsWanted()) {
             sendUpdate(watcher);
         }
+        return commits.hasSeals() && request.getCommitsCount() > 0;
     }
 
     /**
      * Replaces the published state, and answers the proxies that are not up to date.
      *
-     * @param visibleInstances the instances of the state that are published to proxies
+     * @param newVisibleInstances the instances of the state that are published to proxies
      */
-    void publish(ControlState newState, List<RegisteredInstance> visibleInstances, List<ControlMember> members) {
+    void publish(ControlState newState, List<RegisteredInstance> newVisibleInstances, List<ControlMember> members) {
         state = newState;
+        visibleInstances = List.copyOf(newVisibleInstances);
+        controlMembers = List.copyOf(members);
         List<Endpoint> peers = members.stream()
                 .map(ControlMember::getPeer)
                 .filter(peer -> !peer.getHost().isEmpty())
@@ -138,7 +197,7 @@
         List<PromotedInstance> promoted = newState.getGroupsList().stream()
                 .flatMap(group -> promotedInstance(group).stream())
                 .toList();
-        view.publish(visibleInstances, peers, promoted);
+        view.publish(visibleInstances, peers, promoted, commits.seals());
         int proxyCount = liveProxies();
         int positionCount = proofs.size();
         watchers.values().stream()
@@ -262,6 +321,10 @@
 
     private static final class Watcher {
         private WatchSystem request = WatchSystem.getDefaultInstance();
+
+        /** The token of the latest seal of each service that the proxy has applied. */
+        private final Map<String, Long> sealedTokens = new HashMap<>();
+
         private long receivedAtMs;
 
         /** The number of proxies in the last update to this proxy; 0 before the first. */
--- a/control/src/test/java/org/hornbeamspread/control/routes/PublishedViewTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/PublishedViewTest.java
@@ -67,7 +67,7 @@
                 leader.put(id, instance(id, random.nextInt(4)));
             }
             if (random.nextInt(20) == 0) {
-                view.publish(new ArrayList<>(leader.values()), List.of(), List.of());
+                view.publish(new ArrayList<>(leader.values()), List.of(), List.of(), List.of());
             }
             if (random.nextInt(200) == 0 && view.version() > 0) {
                 SystemUpdate update = view.since(knownVersion).build();
@@ -88,7 +88,7 @@
     }
 
     private void publish(RegisteredInstance... instances) {
-        view.publish(List.of(instances), List.of(), List.of());
+        view.publish(List.of(instances), List.of(), List.of(), List.of());
     }
 
     private static RegisteredInstance instance(String id, long bornMs) {
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
+import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.protocol.schema.ControlState;
@@ -33,7 +34,8 @@
 
     private final ManualClock clock = new ManualClock();
     private final ManualClock timeOfDay = new ManualClock();
-    private final WatchingProxies proxies = new WatchingProxies(clock, new ClockJumpDetector(clock, timeOfDay));
+    private final WatchingProxies proxies =
+            new WatchingProxies(clock, new ClockJumpDetector(clock, timeOfDay), EventLog.NONE);
     private final List<Envelope> answers = new ArrayList<>();
 
     @BeforeEach
--- a/core/src/main/java/org/hornbeamspread/core/failover/GroupSnapshot.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/GroupSnapshot.java
@@ -22,6 +22,7 @@
  * @param stalledWriteMs how long writes have waited at the primary while none succeeded; 0 for none
  * @param connectionRefused whether the primary's address refuses connections
  * @param unreachableFromProxies whether too many proxies cannot reach the primary, although it works
+ * @param commitReports what proxies have reported of acknowledged commits
  */
 public record GroupSnapshot(
         long token,
@@ -36,7 +37,8 @@
         long primaryProofAgeMs,
         long stalledWriteMs,
         boolean connectionRefused,
-        boolean unreachableFromProxies) {
+        boolean unreachableFromProxies,
+        CommitReports commitReports) {
     /** Copies the collections. */
     public GroupSnapshot {
         unsettledChoices = Set.copyOf(unsettledChoices);
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -234,6 +234,11 @@
         return snapshot.members().size() - exempt + snapshot.lostCopies().size();
     }
 
+    /** The seal in force. */
+    public Optional<Seal> seal() {
+        return Optional.empty();
+    }
+
     /** Describes each member's last status and its age, for the event log. */
     public List<String> describeStatuses(GroupSnapshot snapshot) {
         return snapshot.members().stream().map(fencing::describe).toList();
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -643,7 +643,8 @@
                 reachablePrimary.isPresent() ? 0 : Long.MAX_VALUE / 4,
                 0,
                 false,
-                unreachableFromProxies);
+                unreachableFromProxies,
+                CommitReports.NONE);
     }
 
     /** The primary that control observes. */
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -45,6 +45,7 @@
     private final SyncGroupFailover failover = new SyncGroupFailover(clock, TIMINGS, 1);
     private List<MemberView> members = List.of(PRIMARY, A, B);
     private long token;
+    private CommitReports commitReports = CommitReports.NONE;
     private Optional<String> chosenId = Optional.empty();
     private boolean concluded = true;
     private List<LostCopy> lostCopies = List.of();
@@ -1063,7 +1064,8 @@
                 proofAgeMs,
                 stalledWriteMs,
                 connectionRefused,
-                unreachableFromProxies);
+                unreachableFromProxies,
+                commitReports);
     }
 
     private void advance(long stepMs) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledFuture;
+import org.hornbeamspread.core.failover.CommitTracker;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -32,6 +33,7 @@
     private Optional<ConnectionLease> lease = Optional.empty();
     private long sentMs;
     private long sentEpoch;
+    private CommitTracker.SentCommit sentCommit = CommitTracker.SentCommit.NONE;
     private boolean sent;
     private boolean timedOut;
     private boolean completed;
@@ -51,6 +53,7 @@
                 context.nowMs(),
                 context.startDeadlineMs(route),
                 this);
+        connectionRequest.mayWrite = isWrite();
     }
 
     @Override
@@ -173,7 +176,9 @@
         sentMs = context.nowMs();
         sentEpoch = context.clockEpoch();
         if (isWrite()) {
-            context.router().serviceState(route.service()).pendingWriteSentAtMs.put(connectionRequest.id, sentMs);
+            ServiceState state = context.router().serviceState(route.service());
+            state.pendingWriteSentAtMs.put(connectionRequest.id, sentMs);
+            sentCommit = state.commits.onSend();
         }
         return true;
     }
@@ -203,6 +208,13 @@
 
     private void onSuccess(ConnectionLease granted, SqlResult result) {
         if (isWrite()) {
+            if (!context.acknowledges(route, sentCommit, result)) {
+                complete(
+                        SqlResult.failure(SqlError.IN_DOUBT, "", TransactionState.IDLE),
+                        granted.instance().instanceId(),
+                        SessionContext.SEALED);
+                return;
+            }
             onProof(granted, result);
             result.position().ifPresent(position -> session.raiseMinPosition(route.service(), position));
         }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ConnectionRequest.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ConnectionRequest.java
@@ -41,6 +41,9 @@
     /** Whether a connection that the request used was lost, or was closed because it was silent. */
     boolean connectionLost;
 
+    /** Whether the request is for a write, or a transaction that may write. */
+    boolean mayWrite;
+
     int attempts;
     boolean ended;
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ServiceState.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ServiceState.java
@@ -1,7 +1,9 @@
 package org.hornbeamspread.proxy.session;
 
+import java.time.Clock;
 import java.util.HashMap;
 import java.util.Map;
+import org.hornbeamspread.core.failover.CommitTracker;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.placement.PositionSamples;
 import org.hornbeamspread.core.placement.PositionSamples.Sample;
@@ -10,6 +12,8 @@
 final class ServiceState {
     final PositionSamples positionSamples = new PositionSamples();
 
+    final CommitTracker commits;
+
     /** Send time of each write without a response, by id of the connection request. */
     final Map<Long, Long> pendingWriteSentAtMs = new HashMap<>();
 
@@ -31,6 +35,10 @@
     private String provenPrimaryId = "";
     private long lastProofAtMs = Long.MIN_VALUE / 4;
 
+    ServiceState(Clock clock) {
+        this.commits = new CommitTracker(clock);
+    }
+
     /** Drops the samples when a new epoch has begun, since their ages can no longer be derived from the clock. */
     void updateClockEpoch(long currentEpoch) {
         if (currentEpoch != clockEpoch) {
@@ -50,6 +58,7 @@
 
     /** Adds a position that a proven primary reported, to this proxy or to control. */
     void addSample(long requestedAtMs, long requestEpoch, LogPosition position) {
+        commits.onObserved(position);
         if (requestEpoch == clockEpoch) {
             positionSamples.add(new Sample(requestedAtMs, position));
             needsSharedPosition = false;
@@ -88,6 +97,11 @@
         return unreachableSinceMs;
     }
 
+    /** Whether an instance is the primary that may be about to be replaced, so that nothing is written there. */
+    boolean isSealed(String instanceId) {
+        return instanceId.equals(provenPrimaryId) && commits.isSealed();
+    }
+
     String provenPrimaryId() {
         return provenPrimaryId;
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionContext.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionContext.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.hornbeamspread.core.failover.CommitTracker;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.route.Route;
@@ -16,6 +17,9 @@
 
     private static final long MIN_CONNECTION_WAIT_MS = 50;
 
+    /** The reason of results that are not acknowledged since the primary may be about to be replaced. */
+    static final String SEALED = "the primary may be about to be replaced";
+
     private final StatementRouter router;
     private final Clock clock;
     private final ClockJumpDetector clockJumpDetector;
@@ -81,6 +85,14 @@
         sessionRemover.accept(session);
     }
 
+    /** Whether a commit that has succeeded may be acknowledged to the caller. */
+    boolean acknowledges(Route route, CommitTracker.SentCommit sentCommit, SqlResult result) {
+        CommitTracker commits = router.serviceState(route.service()).commits;
+        return result.position()
+                .map(position -> commits.onSuccess(sentCommit, position))
+                .orElse(true);
+    }
+
     /** Counts a refusal. */
     void onRefused(RefusalReason reason) {
         metrics.onRefused(reason);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.hornbeamspread.core.failover.CommitTracker;
+import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -154,6 +156,21 @@
         router.onView(view);
     }
 
+    /**
+     * Applies the seals of a newer view.
+     *
+     * @param seals the complete list of seals in force, by service
+     * @param promotedTokens the token of each service's latest promotion
+     */
+    public void onSeals(Map<String, Seal> seals, Map<String, Long> promotedTokens) {
+        router.onSeals(seals, promotedTokens);
+    }
+
+    /** The commits that this proxy has acknowledged, by service. */
+    public Map<String, CommitTracker> acknowledgedCommits() {
+        return router.acknowledgedCommits();
+    }
+
     /** The current view of the system. */
     public SystemView view() {
         return router.view();
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
+import org.hornbeamspread.core.failover.CommitTracker;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -94,6 +95,7 @@
         private final ConnectionRequest connectionRequest;
         private long sentMs;
         private long sentEpoch;
+        private CommitTracker.SentCommit sentCommit = CommitTracker.SentCommit.NONE;
         private boolean sent;
         private boolean timedOut;
         private boolean completed;
@@ -110,6 +112,7 @@
                     context.nowMs(),
                     context.startDeadlineMs(route),
                     this);
+            connectionRequest.mayWrite = !readOnly;
         }
 
         @Override
@@ -117,6 +120,11 @@
             if (readOnly && statement.kind() == ForwardedStatement.Kind.WRITE) {
                 context.onRefused(RefusalReason.READ_ONLY_TRANSACTION);
                 fail(SqlError.READ_ONLY, "", RefusalReason.READ_ONLY_TRANSACTION.name());
+            } else if (lease.isPresent() && mustNotCommit(lease.get())) {
+                lease.get().discard();
+                String instanceId = lease.get().instance().instanceId();
+                lease = Optional.empty();
+                fail(SqlError.ABORTED, instanceId, SessionContext.SEALED);
             } else if (lease.isPresent()) {
                 send(lease.get());
             } else {
@@ -124,6 +132,15 @@
             }
         }
 
+        /** Whether the statement would commit writes at a primary that may be about to be replaced. */
+        private boolean mustNotCommit(ConnectionLease heldLease) {
+            return statement.kind() == ForwardedStatement.Kind.COMMIT
+                    && hasWrites
+                    && context.router()
+                            .serviceState(route.service())
+                            .isSealed(heldLease.instance().instanceId());
+        }
+
         @Override
         public void onTimeout() {
             if (completed) {
@@ -230,10 +247,9 @@
             sentMs = context.nowMs();
             sentEpoch = context.clockEpoch();
             if (statement.kind() != ForwardedStatement.Kind.READ) {
-                context.router()
-                        .serviceState(route.service())
-                        .pendingWriteSentAtMs
-                        .put(connectionRequest.id, sentMs);
+                ServiceState state = context.router().serviceState(route.service());
+                state.pendingWriteSentAtMs.put(connectionRequest.id, sentMs);
+                sentCommit = state.commits.onSend();
             }
             return true;
         }
@@ -279,6 +295,10 @@
                 heldLease.discard();
             }
             if (hasWrites) {
+                if (!context.acknowledges(route, sentCommit, result)) {
+                    fail(SqlError.IN_DOUBT, instanceId, SessionContext.SEALED);
+                    return;
+                }
                 onProof(heldLease, result);
                 result.position().ifPresent(position -> session.raiseMinPosition(route.service(), position));
             }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
@@ -8,9 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.hornbeamspread.core.admission.ConnectionShare;
+import org.hornbeamspread.core.failover.CommitTracker;
+import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -123,7 +126,7 @@
     }
 
     ServiceState serviceState(String name) {
-        return serviceStates.computeIfAbsent(name, key -> new ServiceState());
+        return serviceStates.computeIfAbsent(name, key -> new ServiceState(clock));
     }
 
     /** Applies a newer view. */
@@ -211,17 +214,17 @@
     private Optional<InstanceConnectionPool> primaryPool(ConnectionRequest request) {
         String service = request.route.service();
         String provenId = serviceState(service).provenPrimaryId();
-        Optional<DatabaseInstance> announced = view.primary(service).filter(this::mayBePrimary);
+        Optional<DatabaseInstance> announced = view.primary(service).filter(instance -> mayServe(request, instance));
         // The previous primary stays the primary until the promotion takes effect, but writes that it
         // acknowledges in that time would be lost.
         boolean promotionKnown = controlReachable && view.hasPromotedInstance(service);
         Optional<DatabaseInstance> proven = view.instances(service).stream()
                 .filter(instance -> !promotionKnown)
                 .filter(instance -> instance.instanceId().equals(provenId))
-                .filter(this::mayBePrimary)
+                .filter(instance -> mayServe(request, instance))
                 .findFirst();
         Optional<InstanceConnectionPool> pool =
-                announced.or(() -> proven).or(() -> possiblePrimary(service)).map(this::pool);
+                announced.or(() -> proven).or(() -> possiblePrimary(request)).map(this::pool);
         if (pool.isPresent() && !pool.get().isReachable() && pool.get().hasConnectFailed()) {
             serviceState(service).onPrimaryUnreachable(clock.millis());
         }
@@ -232,12 +235,12 @@
      * While control is unreachable, any reachable instance that has not recently responded that it is not the primary: the proxy
      * receives no promotions then. The instance proves to be the primary, or refuses the statement, which then did not run.
      */
-    private Optional<DatabaseInstance> possiblePrimary(String service) {
+    private Optional<DatabaseInstance> possiblePrimary(ConnectionRequest request) {
         if (controlReachable) {
             return Optional.empty();
         }
-        return view.instances(service).stream()
-                .filter(this::mayBePrimary)
+        return view.instances(request.route.service()).stream()
+                .filter(instance -> mayServe(request, instance))
                 .filter(instance -> pool(instance).isReachable())
                 .findFirst();
     }
@@ -250,6 +253,28 @@
         retryParked();
     }
 
+    /** Applies the seals in a changed view: each sealed service's seal. */
+    void onSeals(Map<String, Seal> seals, Map<String, Long> promotedTokens) {
+        seals.forEach((service, seal) -> serviceState(service).commits.onSeal(seal));
+        serviceStates.forEach((service, state) -> {
+            if (!seals.containsKey(service)) {
+                boolean leads = view.instances(service).stream()
+                        .anyMatch(instance -> instance.primary()
+                                && instance.instanceId()
+                                        .equals(view.promotedIds().get(service)));
+                state.commits.onNoSeal(leads ? promotedTokens.getOrDefault(service, 0L) : 0);
+            }
+        });
+        retryParked();
+    }
+
+    /** The commits that this proxy has acknowledged, by service. */
+    Map<String, CommitTracker> acknowledgedCommits() {
+        Map<String, CommitTracker> commits = new TreeMap<>();
+        serviceStates.forEach((service, state) -> commits.put(service, state.commits));
+        return commits;
+    }
+
     /** Whether the primary of any service has been unreachable or unknown for longer than a time. */
     boolean lacksPrimary(long longerThanMs) {
         long nowMs = clock.millis();
@@ -263,6 +288,12 @@
         return serviceStates.values().stream().anyMatch(state -> state.needsSharedPosition);
     }
 
+    private boolean mayServe(ConnectionRequest request, DatabaseInstance instance) {
+        boolean writesSealed =
+                request.mayWrite && serviceState(instance.service()).isSealed(instance.instanceId());
+        return !writesSealed && mayBePrimary(instance);
+    }
+
     private boolean mayBePrimary(DatabaseInstance instance) {
         Long sinceMs = drainingSinceMs.get(instance.instanceId());
         boolean drainingTooLong = sinceMs != null && clock.millis() - sinceMs > DRAINING_PRIMARY_LIMIT_MS;
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.hornbeamspread.core.failover.AcknowledgedCommits;
+import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
@@ -20,6 +22,7 @@
 import org.hornbeamspread.core.placement.ProxyCountEstimate;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.RouteConfiguration;
+import org.hornbeamspread.protocol.schema.CommitReport;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
@@ -82,6 +85,12 @@
     private long requestedAtMs;
     private long requestEpoch;
 
+    /** What the current leader has received of this proxy's acknowledged commits, by service. */
+    private Map<String, AcknowledgedCommits> reportedCommits = Map.of();
+
+    /** The same once the request in flight is answered. */
+    private Map<String, AcknowledgedCommits> sentCommits = Map.of();
+
     /**
      * Creates a watch that has not started.
      *
@@ -170,11 +179,32 @@
                         .setSinceSuccessMs((int) health.sinceLastProofMs())
                         .setOldestWriteMs((int) health.oldestPendingWriteMs())
                         .setUnreachableMs((int) health.unreachableMs())));
+        addCommitReports(request);
         requestedAtMs = clock.millis();
         requestEpoch = engine.clockEpoch();
         return Envelope.newBuilder().setWatchSystem(request).build();
     }
 
+    /** Reports the acknowledged commits that the leader has not received, and those of sealed services in every request. */
+    private void addCommitReports(WatchSystem.Builder request) {
+        Map<String, AcknowledgedCommits> sent = new TreeMap<>();
+        engine.acknowledgedCommits().forEach((service, commits) -> {
+            AcknowledgedCommits acknowledged = commits.acknowledged();
+            sent.put(service, acknowledged);
+            boolean known = reportedCommits
+                    .getOrDefault(service, AcknowledgedCommits.NONE)
+                    .equals(acknowledged);
+            if (!known || commits.sealedToken() > 0) {
+                request.addCommits(CommitReport.newBuilder()
+                        .setService(service)
+                        .setCertain(Envelopes.position(acknowledged.certain()))
+                        .setPossible(Envelopes.position(acknowledged.possible()))
+                        .setSealedToken(commits.sealedToken()));
+            }
+        });
+        sentCommits = sent;
+    }
+
     /** Whether an observation differs from that of a proxy that has not used the primary lately. */
     private static boolean isInformative(SessionEngine.PrimaryHealth health) {
         return health.sinceLastProofMs() <= MAX_REPORTED_PROOF_AGE_MS
@@ -205,7 +235,7 @@
             return;
         }
         backoffMs = INITIAL_BACKOFF_MS;
-        if (engine.needsSharedPositions()) {
+        if (engine.needsSharedPositions() && update.getSealedCount() == 0) {
             executor.schedule(this::poll, POSITIONS_POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         } else {
             poll();
@@ -222,6 +252,7 @@
             controlReachable = true;
             events.record("control_regained", "leader_term", update.getLeaderTerm());
         }
+        reportedCommits = update.getLeaderTerm() == leaderTerm ? sentCommits : Map.of();
         leaderTerm = update.getLeaderTerm();
         systemVersion = update.getSystemVersion();
         boolean newConfiguration =
@@ -286,6 +317,14 @@
                 "proxies",
                 proxyCount);
         engine.onView(SystemView.of(configuration, instances, promoted, proxyCount));
+        Map<String, Seal> seals = new TreeMap<>();
+        update.getSealedList()
+                .forEach(service ->
+                        seals.put(service.getService(), new Seal(service.getFencingToken(), service.getLogTerm())));
+        Map<String, Long> promotedTokens = new TreeMap<>();
+        update.getPromotedList()
+                .forEach(instance -> promotedTokens.put(instance.getService(), instance.getFencingToken()));
+        engine.onSeals(seals, promotedTokens);
     }
 
     private void onFailure(Endpoint target, FailureException failure) {
@@ -293,6 +332,7 @@
         engine.setControlReachable(false);
         connection.ifPresent(PeerConnection::close);
         connection = Optional.empty();
+        reportedCommits = Map.of();
         Optional<Endpoint> previous = leader;
         leader = redirect;
         if (controlReachable && failure.type() != FailureType.NOT_LEADER) {
