--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -106,6 +106,92 @@
         assertThat(step(1_300)).containsExactly(new Choose(1, "a"));
     }
 
+    /**
+     * Acknowledged commits were missing at the promoted database: a copy that control did not know, did not reach or took for another had
+     * acknowledged them (issue 53; review cases 2, 6 and 11).
+     */
+    @Test
+    void instanceThatLacksAnAcknowledgedCommitIsNotChosen() {
+        commitReports = new CommitReports(acknowledged(70, 75), false);
+        raiseToken();
+        step(1_100);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 69, 4));
+        assertThat(hasChoice(step(9_000))).isFalse();
+        advance(200);
+        members = List.of(PRIMARY, A, B, new MemberView("joined", false, false, 100, false, 0));
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 69, 4));
+        failover.onStatus("joined", replica(3, 75, 4));
+
+        assertThat(step(9_000)).contains(new Choose(1, "joined"));
+    }
+
+    /** Entries at the end of the primary's log that no replica has received are waited for only as long as a database may take to register. */
+    @Test
+    void instanceThatMayLackACommitIsChosenOnceNoDatabaseCanRegisterAnyMore() {
+        commitReports = new CommitReports(acknowledged(60, 61), false);
+        raiseToken();
+        advance(500);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(9_000))).isFalse();
+        advance(200);
+
+        assertThat(hasChoice(step(9_000))).isTrue();
+    }
+
+    /** A proxy that is asked to stop acknowledging may do so until it has reported. */
+    @Test
+    void commitReportsOfProxiesInTouchAreAwaited() {
+        commitReports = new CommitReports(acknowledged(60, 60), true);
+        raiseToken();
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(9_000))).isFalse();
+        assertThat(failover.seal()).isPresent();
+        commitReports = new CommitReports(acknowledged(60, 60), false);
+
+        assertThat(hasChoice(step(9_000))).isTrue();
+    }
+
+    /** Between the choice and the order, a proxy reports a commit that the chosen instance lacks. */
+    @Test
+    void chosenInstanceThatLacksAReportedCommitIsNotPromoted() {
+        raiseToken();
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(9_000))).isTrue();
+        failover.onLogCommitEnded(true);
+        chosenId = Optional.of("a");
+        commitReports = new CommitReports(acknowledged(61, 61), false);
+
+        List<SyncFailoverEffect> effects = step(9_000);
+
+        assertThat(effects.stream().noneMatch(SyncFailoverEffect.Promote.class::isInstance))
+                .isTrue();
+        assertThat(effects).containsExactly(new RaiseToken(1));
+    }
+
+    /** Commits in flight at a primary that is demoted in a planned replacement keep their results. */
+    @Test
+    void commitsOfAPrimaryThatControlDemotesAreAcknowledged() {
+        members = List.of(new MemberView("p", true, true, 0, false, 0), A, B);
+        advance(4_000);
+        proof = Optional.of(new PrimaryProof(new LogPosition(3, 60), clock.millis()));
+        assertThat(step(0)).containsExactly(new RaiseToken(0));
+        failover.onLogCommitEnded(true);
+        token = 1;
+        concluded = false;
+        step(0);
+
+        assertThat(failover.seal()).isEmpty();
+    }
+
+    private static AcknowledgedCommits acknowledged(long certainEntries, long possibleEntries) {
+        return new AcknowledgedCommits(new LogPosition(3, certainEntries), new LogPosition(3, possibleEntries));
+    }
+
     @Test
     void replicaBehindTheDemotedPrimaryIsNotChosen() {
         raiseToken();
