An instance that lacks an acknowledged commit is not promoted, whatever the count of copies shows

Cause: control proves from the members that it knows and reaches that nobody else can have acknowledged. The proxies know what was acknowledged, and were not asked.

Now a candidate must cover the latest commit that any proxy has reported. From the raised token on, proxies in touch pass on no success of a log term up to the sealed one (IN_DOUBT, or ABORTED before COMMIT is sent), send no write to that primary, and report; the choice waits up to 400 ms for those that have not. The order is checked against reports and replicas that came since the choice. A primary that control reaches is demoted as before, and is not sealed.

--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -21,6 +21,12 @@
     /** The replacement of a working primary is abandoned after this long, unless the primary is already demoted. */
     static final long LIVE_REPLACEMENT_TIMEOUT_MS = 1_500;
 
+    /**
+     * A database that joined before the primary was lost is registered at most this long after the token was raised: its first
+     * announcement waits up to 1 s at a control member that does not respond, and the loss is detected half a second later at the earliest.
+     */
+    static final long REGISTRATION_TIMEOUT_MS = 600;
+
     private final Clock clock;
     private final SyncFailoverTimings timings;
 
@@ -163,9 +169,15 @@
      * @param copies how many logs may hold an acknowledged commit: those of members, and lost ones
      * @param unreliablePauseIds members that may receive although they are paused
      * @param primaryReachable whether the primary was reached recently, so that its demotion is awaited
+     * @param acknowledged bounds of the latest commit that proxies have acknowledged; an instance that lacks it is no candidate,
+     *     whatever the count of copies shows
      */
     Optional<String> candidate(
-            List<MemberView> members, long copies, Set<String> unreliablePauseIds, boolean primaryReachable) {
+            List<MemberView> members,
+            long copies,
+            Set<String> unreliablePauseIds,
+            boolean primaryReachable,
+            AcknowledgedCommits acknowledged) {
         List<MemberView> replicas = members.stream()
                 .filter(member -> isRespondingReplica(member.instanceId()))
                 .toList();
@@ -189,6 +201,9 @@
         if (mostAdvanced.isEmpty() || !(demotedResponding || noneLeads || allButOneFenced)) {
             return Optional.empty();
         }
+        if (lacksAcknowledged(mostAdvanced.get().instanceId(), acknowledged)) {
+            return Optional.empty();
+        }
         long waitedMs = elapsedMs();
         boolean demotionPossible = !demotedResponding && (primaryReachable || isPrimaryResponding(members));
         boolean betterCandidatePossible = isDemoted(mostAdvanced.get().instanceId()) || demotionPossible;
@@ -198,6 +213,30 @@
         return keepWaiting ? Optional.empty() : mostAdvanced.map(MemberView::instanceId);
     }
 
+    /**
+     * Whether an instance lacks an acknowledged commit, or may lack one that a database holds which joined before the primary was lost and
+     * is about to be registered.
+     */
+    boolean lacksAcknowledged(String id, AcknowledgedCommits acknowledged) {
+        LogPosition received = receivedPositionOf(id);
+        boolean mayLack = !received.covers(acknowledged.possible()) && elapsedMs() <= REGISTRATION_TIMEOUT_MS;
+        return mayLack || !received.covers(acknowledged.certain());
+    }
+
+    /** Whether a replica that responded under the current token has a later position than an instance. */
+    boolean isBehindReplica(String id) {
+        LogPosition received = receivedPositionOf(id);
+        return statuses.values().stream().anyMatch(status -> !status.primary() && !received.covers(status.received()));
+    }
+
+    /** The latest term that an instance has reported under the current token; 0 for none. */
+    long highestReportedTerm() {
+        return statuses.values().stream()
+                .mapToLong(status -> Math.max(status.term(), status.received().term()))
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Whether another instance was chosen earlier. Its promotion may have been accepted and be about to take effect: commits that
      * it then acknowledges before this candidate leads would be lost.
@@ -268,7 +307,11 @@
     }
 
     private LogPosition receivedPosition(MemberView member) {
-        ReplicaStatus status = statuses.get(member.instanceId());
+        return receivedPositionOf(member.instanceId());
+    }
+
+    private LogPosition receivedPositionOf(String id) {
+        ReplicaStatus status = statuses.get(id);
         return status == null ? LogPosition.NONE : status.received();
     }
 }
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -60,6 +60,9 @@
     /** A request without a result that may not be repeated, because a replica receives again, is abandoned after this long. */
     private static final long PROMOTION_RESULT_TIMEOUT_MS = 1_500;
 
+    /** A proxy that has not reported its commits this long after the token was raised is not waited for. */
+    private static final long COMMIT_REPORT_TIMEOUT_MS = 400;
+
     private final Clock clock;
     private final SyncFailoverTimings timings;
     private final FencingState fencing;
@@ -86,6 +89,11 @@
     /** Whether the token was raised to promote the instance that leads already, so that the platform rejects earlier requests. */
     private boolean settlesPrimary;
 
+    /** Whether proxies are to acknowledge no commits up to the sealed term. */
+    private boolean sealActive;
+
+    private long sealedTerm;
+
     private boolean logCommitPending;
     private boolean tokenCommitPending;
     private boolean promotionRequested;
@@ -123,6 +131,7 @@
         coverage.updateLosses(snapshot);
         fencing.updateMembers(snapshot.members(), coverage.possiblyRunningCopies(snapshot));
         pauses.retainMembers(snapshot.members());
+        updateSeal(snapshot, false);
         if (logCommitPending || snapshot.members().isEmpty()) {
             return List.of();
         }
@@ -234,11 +243,6 @@
         return snapshot.members().size() - exempt + snapshot.lostCopies().size();
     }
 
-    /** The seal in force. */
-    public Optional<Seal> seal() {
-        return Optional.empty();
-    }
-
     /** Describes each member's last status and its age, for the event log. */
     public List<String> describeStatuses(GroupSnapshot snapshot) {
         return snapshot.members().stream().map(fencing::describe).toList();
@@ -255,6 +259,7 @@
             logCommitPending = true;
             return List.of(new Conclude(snapshot.token(), snapshot.chosenId().get()));
         }
+        updateSeal(snapshot, true);
         long limitMs = snapshot.connectionRefused() ? timings.refusedDetectionMs() : timings.detectionMs();
         boolean lost =
                 nowMs - lastPrimaryProofAtMs > limitMs || snapshot.stalledWriteMs() > timings.writeStallTimeoutMs();
@@ -275,6 +280,7 @@
                 && snapshot.members().size() > 1) {
             List<SyncFailoverEffect> effects = raiseToken(snapshot);
             reachableAtTokenRaise = !lost && hasDirectProof(snapshot, timings.refusedDetectionMs());
+            sealActive |= lost;
             return effects;
         }
         List<SyncFailoverEffect> effects = new ArrayList<>(queryTakeover(snapshot, nowMs));
@@ -388,7 +394,42 @@
 
     private Optional<String> candidate(GroupSnapshot snapshot) {
         return fencing.candidate(
-                snapshot.members(), copyCount(snapshot), pauses.unreliableIds(snapshot), isPrimaryReachable(snapshot));
+                snapshot.members(),
+                copyCount(snapshot),
+                pauses.unreliableIds(snapshot),
+                isPrimaryReachable(snapshot),
+                snapshot.commitReports().acknowledged());
+    }
+
+    /**
+     * The seal in force: proxies acknowledge no commit of the primary that is being replaced. A primary that control reaches is demoted
+     * instead, after which it commits nothing more; callers then get the results of the commits in flight.
+     */
+    public Optional<Seal> seal() {
+        return sealActive ? Optional.of(new Seal(ownToken, sealedTerm)) : Optional.empty();
+    }
+
+    private void updateSeal(GroupSnapshot snapshot, boolean settled) {
+        if (settled) {
+            sealActive = false;
+            return;
+        }
+        if (snapshot.token() != ownToken || snapshot.chosenId().isPresent()) {
+            return;
+        }
+        boolean demotionExpected =
+                isPrimaryReachable(snapshot) && fencing.elapsedMs() <= FencingState.LIVE_REPLACEMENT_TIMEOUT_MS;
+        sealActive |= fencing.demotedId().isEmpty() && !demotionExpected && !settlesPrimary;
+        sealedTerm = Math.max(sealedTerm, Math.max(provenTerm(snapshot), fencing.highestReportedTerm()));
+    }
+
+    private static long provenTerm(GroupSnapshot snapshot) {
+        return snapshot.primaryProof().map(proof -> proof.position().term()).orElse(0L);
+    }
+
+    /** Whether proxies in touch may still acknowledge commits that they have not reported. */
+    private boolean awaitsCommitReports(GroupSnapshot snapshot) {
+        return sealActive && snapshot.commitReports().pending() && fencing.elapsedMs() <= COMMIT_REPORT_TIMEOUT_MS;
     }
 
     /**
@@ -458,6 +499,8 @@
         }
         rejectedCandidate = Optional.empty();
         reachableAtTokenRaise = false;
+        sealActive = earlierPromotionPending;
+        sealedTerm = provenTerm(snapshot);
         fencing.reset(unsettled);
         promotionResult = Optional.empty();
         promotionRequested = false;
@@ -485,7 +528,7 @@
             return List.of();
         }
         Optional<String> candidate = candidate(snapshot);
-        if (candidate.isPresent()) {
+        if (candidate.isPresent() && !awaitsCommitReports(snapshot)) {
             logCommitPending = true;
             return List.of(new Choose(ownToken, candidate.get()));
         }
@@ -600,9 +643,12 @@
             logCommitPending = true;
             return List.of(new Conclude(ownToken, chosenId, snapshot.unsettledChoices()));
         }
-        if (!promotionRequested
-                || isCurrentPrimary(snapshot, chosenId)
-                || candidate(snapshot).equals(Optional.of(chosenId))) {
+        boolean currentPrimary = isCurrentPrimary(snapshot, chosenId);
+        if (!promotionRequested && !currentPrimary && isOutdatedChoice(snapshot, chosenId)) {
+            rejectedCandidate = Optional.of(chosenId);
+            return raiseToken(snapshot);
+        }
+        if (!promotionRequested || currentPrimary || candidate(snapshot).equals(Optional.of(chosenId))) {
             if (!isDue("promote", nowMs)) {
                 return keepFenced(snapshot, nowMs);
             }
@@ -615,6 +661,12 @@
         return fencingCommands(snapshot, nowMs);
     }
 
+    /** Whether a commit was reported, or a member found, since the choice that shows that the chosen instance lacks commits. */
+    private boolean isOutdatedChoice(GroupSnapshot snapshot, String chosenId) {
+        return fencing.lacksAcknowledged(chosenId, snapshot.commitReports().acknowledged())
+                || fencing.isBehindReplica(chosenId);
+    }
+
     /** Whether the candidate is the primary itself, for which a promotion request changes nothing. */
     private boolean isCurrentPrimary(GroupSnapshot snapshot, String chosenId) {
         return primary(snapshot)
