The seal of a promotion is a class of its own

No change of decisions but one that had no effect: a promotion that settles the primary was excluded from a condition which its token raise had met already.

--- /dev/null
+++ b/core/src/main/java/org/hornbeamspread/core/failover/PromotionSeal.java
@@ -0,0 +1,59 @@
+package org.hornbeamspread.core.failover;
+
+import java.util.Optional;
+
+/**
+ * The seal of a promotion: proxies acknowledge no commit of the primary that is being replaced. A primary that control reaches is demoted
+ * instead, after which it commits nothing more; callers then get the results of the commits in flight. Confined to one thread.
+ */
+final class PromotionSeal {
+    /** A proxy that has not reported its commits this long after the token was raised is not waited for. */
+    private static final long REPORT_TIMEOUT_MS = 400;
+
+    private final FencingState fencing;
+    private boolean active;
+    private long logTerm;
+
+    PromotionSeal(FencingState fencing) {
+        this.fencing = fencing;
+    }
+
+    /** Begins a promotion. */
+    void reset(GroupSnapshot snapshot, boolean earlierPromotionPending) {
+        active = earlierPromotionPending;
+        logTerm = provenTerm(snapshot);
+    }
+
+    /** Begins the seal, until the promotion is settled. */
+    void begin() {
+        active = true;
+    }
+
+    /** Handles the end of the promotion: the promoted instance leads, or the primary stays the same. */
+    void end() {
+        active = false;
+    }
+
+    /**
+     * Handles a step before an instance is chosen. The term is not raised after the choice, since the promoted instance leads a later one.
+     *
+     * @param demotionExpected whether control reaches the primary, and its demotion is awaited
+     */
+    void update(GroupSnapshot snapshot, boolean demotionExpected) {
+        active |= fencing.demotedId().isEmpty() && !demotionExpected;
+        logTerm = Math.max(logTerm, Math.max(provenTerm(snapshot), fencing.highestReportedTerm()));
+    }
+
+    /** Whether proxies in touch may still acknowledge commits that they have not reported. */
+    boolean awaitsReports(GroupSnapshot snapshot) {
+        return active && snapshot.commitReports().pending() && fencing.elapsedMs() <= REPORT_TIMEOUT_MS;
+    }
+
+    Optional<Seal> seal(long token) {
+        return active ? Optional.of(new Seal(token, logTerm)) : Optional.empty();
+    }
+
+    private static long provenTerm(GroupSnapshot snapshot) {
+        return snapshot.primaryProof().map(proof -> proof.position().term()).orElse(0L);
+    }
+}
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -60,15 +60,13 @@
     /** A request without a result that may not be repeated, because a replica receives again, is abandoned after this long. */
     private static final long PROMOTION_RESULT_TIMEOUT_MS = 1_500;
 
-    /** A proxy that has not reported its commits this long after the token was raised is not waited for. */
-    private static final long COMMIT_REPORT_TIMEOUT_MS = 400;
-
     private final Clock clock;
     private final SyncFailoverTimings timings;
     private final FencingState fencing;
     private final ReplicaCoverage coverage;
     private final ReplicaPauses pauses;
     private final PromotionTakeover takeover;
+    private final PromotionSeal seal;
     private final Map<String, Long> commandsSentAtMs = new HashMap<>();
 
     /** The token that this leader raised; 0 for none. */
@@ -89,11 +87,6 @@
     /** Whether the token was raised to promote the instance that leads already, so that the platform rejects earlier requests. */
     private boolean settlesPrimary;
 
-    /** Whether proxies are to acknowledge no commits up to the sealed term. */
-    private boolean sealActive;
-
-    private long sealedTerm;
-
     private boolean logCommitPending;
     private boolean tokenCommitPending;
     private boolean promotionRequested;
@@ -117,6 +110,7 @@
         this.coverage = new ReplicaCoverage(clock, timings);
         this.pauses = new ReplicaPauses(clock, leaderTerm);
         this.takeover = new PromotionTakeover(clock, timings, fencing);
+        this.seal = new PromotionSeal(fencing);
         this.lastPrimaryProofAtMs = clock.millis() + timings.initialDetectionMs() - timings.detectionMs();
     }
 
@@ -131,7 +125,7 @@
         coverage.updateLosses(snapshot);
         fencing.updateMembers(snapshot.members(), coverage.possiblyRunningCopies(snapshot));
         pauses.retainMembers(snapshot.members());
-        updateSeal(snapshot, false);
+        updateSeal(snapshot);
         if (logCommitPending || snapshot.members().isEmpty()) {
             return List.of();
         }
@@ -259,7 +253,7 @@
             logCommitPending = true;
             return List.of(new Conclude(snapshot.token(), snapshot.chosenId().get()));
         }
-        updateSeal(snapshot, true);
+        seal.end();
         long limitMs = snapshot.connectionRefused() ? timings.refusedDetectionMs() : timings.detectionMs();
         boolean lost =
                 nowMs - lastPrimaryProofAtMs > limitMs || snapshot.stalledWriteMs() > timings.writeStallTimeoutMs();
@@ -280,7 +274,9 @@
                 && snapshot.members().size() > 1) {
             List<SyncFailoverEffect> effects = raiseToken(snapshot);
             reachableAtTokenRaise = !lost && hasDirectProof(snapshot, timings.refusedDetectionMs());
-            sealActive |= lost;
+            if (lost) {
+                seal.begin();
+            }
             return effects;
         }
         List<SyncFailoverEffect> effects = new ArrayList<>(queryTakeover(snapshot, nowMs));
@@ -401,35 +397,17 @@
                 snapshot.commitReports().acknowledged());
     }
 
-    /**
-     * The seal in force: proxies acknowledge no commit of the primary that is being replaced. A primary that control reaches is demoted
-     * instead, after which it commits nothing more; callers then get the results of the commits in flight.
-     */
+    /** The seal in force; empty if proxies may acknowledge every commit. */
     public Optional<Seal> seal() {
-        return sealActive ? Optional.of(new Seal(ownToken, sealedTerm)) : Optional.empty();
+        return seal.seal(ownToken);
     }
 
-    private void updateSeal(GroupSnapshot snapshot, boolean settled) {
-        if (settled) {
-            sealActive = false;
-            return;
+    private void updateSeal(GroupSnapshot snapshot) {
+        if (snapshot.token() == ownToken && snapshot.chosenId().isEmpty()) {
+            boolean demotionExpected =
+                    isPrimaryReachable(snapshot) && fencing.elapsedMs() <= FencingState.LIVE_REPLACEMENT_TIMEOUT_MS;
+            seal.update(snapshot, demotionExpected);
         }
-        if (snapshot.token() != ownToken || snapshot.chosenId().isPresent()) {
-            return;
-        }
-        boolean demotionExpected =
-                isPrimaryReachable(snapshot) && fencing.elapsedMs() <= FencingState.LIVE_REPLACEMENT_TIMEOUT_MS;
-        sealActive |= fencing.demotedId().isEmpty() && !demotionExpected && !settlesPrimary;
-        sealedTerm = Math.max(sealedTerm, Math.max(provenTerm(snapshot), fencing.highestReportedTerm()));
-    }
-
-    private static long provenTerm(GroupSnapshot snapshot) {
-        return snapshot.primaryProof().map(proof -> proof.position().term()).orElse(0L);
-    }
-
-    /** Whether proxies in touch may still acknowledge commits that they have not reported. */
-    private boolean awaitsCommitReports(GroupSnapshot snapshot) {
-        return sealActive && snapshot.commitReports().pending() && fencing.elapsedMs() <= COMMIT_REPORT_TIMEOUT_MS;
     }
 
     /**
@@ -499,8 +477,7 @@
         }
         rejectedCandidate = Optional.empty();
         reachableAtTokenRaise = false;
-        sealActive = earlierPromotionPending;
-        sealedTerm = provenTerm(snapshot);
+        seal.reset(snapshot, earlierPromotionPending);
         fencing.reset(unsettled);
         promotionResult = Optional.empty();
         promotionRequested = false;
@@ -528,7 +505,7 @@
             return List.of();
         }
         Optional<String> candidate = candidate(snapshot);
-        if (candidate.isPresent() && !awaitsCommitReports(snapshot)) {
+        if (candidate.isPresent() && !seal.awaitsReports(snapshot)) {
             logCommitPending = true;
             return List.of(new Choose(ownToken, candidate.get()));
         }
