Proxies are sealed only under a committed token

What callers would have seen: writes refused for up to 23 s at a working primary, if the commit of a raised token fails and the primary proves its lead after all.

Cause: the seal went out with the raise. A proxy ends a seal once a promotion with its token or a later one leads, and no promotion has the token that was never committed. Found by reading; SyncGroupFailoverTest#proxiesAreSealedOnlyUnderACommittedToken.

--- a/core/src/main/java/org/hornbeamspread/core/failover/PromotionSeal.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/PromotionSeal.java
@@ -12,34 +12,35 @@
 
     private final FencingState fencing;
     private boolean active;
+
+    /** The committed token of the promotion; 0 before the first. */
+    private long token;
+
     private long logTerm;
 
     PromotionSeal(FencingState fencing) {
         this.fencing = fencing;
     }
 
-    /** Begins a promotion. */
+    /** Begins a promotion whose token is not committed yet. A seal of the previous token stays in force until then. */
     void reset(GroupSnapshot snapshot, boolean earlierPromotionPending) {
+        token = active ? token : 0;
         active = earlierPromotionPending;
         logTerm = provenTerm(snapshot);
     }
 
-    /** Begins the seal, until the promotion is settled. */
-    void begin() {
-        active = true;
-    }
-
     /** Handles the end of the promotion: the promoted instance leads, or the primary stays the same. */
     void end() {
         active = false;
     }
 
     /**
-     * Handles a step before an instance is chosen. The term is not raised after the choice, since the promoted instance leads a later one.
+     * Handles a step between the commit of the token and the choice. The term is not raised after the choice, since the promoted instance leads a later one.
      *
      * @param demotionExpected whether control reaches the primary, and its demotion is awaited
      */
     void update(GroupSnapshot snapshot, boolean demotionExpected) {
+        token = snapshot.token();
         active |= fencing.demotedId().isEmpty() && !demotionExpected;
         logTerm = Math.max(logTerm, Math.max(provenTerm(snapshot), fencing.highestReportedTerm()));
     }
@@ -49,8 +50,12 @@
         return active && snapshot.commitReports().pending() && fencing.elapsedMs() <= REPORT_TIMEOUT_MS;
     }
 
-    Optional<Seal> seal(long token) {
-        return active ? Optional.of(new Seal(token, logTerm)) : Optional.empty();
+    /**
+     * The seal in force. One under a token that is never committed would have no end that proxies can observe: the group's next promotion would
+     * have the same token.
+     */
+    Optional<Seal> seal() {
+        return active && token > 0 ? Optional.of(new Seal(token, logTerm)) : Optional.empty();
     }
 
     private static long provenTerm(GroupSnapshot snapshot) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -274,9 +274,6 @@
                 && snapshot.members().size() > 1) {
             List<SyncFailoverEffect> effects = raiseToken(snapshot);
             reachableAtTokenRaise = !lost && hasDirectProof(snapshot, timings.refusedDetectionMs());
-            if (lost) {
-                seal.begin();
-            }
             return effects;
         }
         List<SyncFailoverEffect> effects = new ArrayList<>(queryTakeover(snapshot, nowMs));
@@ -399,7 +396,7 @@
 
     /** The seal in force; empty if proxies may acknowledge every commit. */
     public Optional<Seal> seal() {
-        return seal.seal(ownToken);
+        return seal.seal();
     }
 
     private void updateSeal(GroupSnapshot snapshot) {
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -188,6 +188,21 @@
         assertThat(failover.seal()).isEmpty();
     }
 
+    /** A seal under a token that no leader commits would stop the writes at a working primary. */
+    @Test
+    void proxiesAreSealedOnlyUnderACommittedToken() {
+        advance(1_001);
+        assertThat(step(1_001)).containsExactly(new RaiseToken(0));
+        assertThat(failover.seal()).isEmpty();
+        failover.onLogCommitEnded(false);
+        step(0);
+        assertThat(failover.seal()).isEmpty();
+        raiseToken();
+        step(1_100);
+
+        assertThat(failover.seal().map(Seal::token)).hasValue(1L);
+    }
+
     private static AcknowledgedCommits acknowledged(long certainEntries, long possibleEntries) {
         return new AcknowledgedCommits(new LogPosition(3, certainEntries), new LogPosition(3, possibleEntries));
     }
