Concurrent commits raise the lower bound of what is acknowledged

What callers could have seen: up to as many commits lost as a proxy has in flight. Each acknowledged commit has a position of its own, so that the bound rises with their number.

--- a/core/src/main/java/org/hornbeamspread/core/failover/CommitTracker.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/CommitTracker.java
@@ -25,6 +25,11 @@
     private LogPosition observed = LogPosition.NONE;
 
     private AcknowledgedCommits acknowledged = AcknowledgedCommits.NONE;
+
+    /** An observed position, and how many acknowledged commits were sent after it was observed. */
+    private LogPosition countedFrom = LogPosition.NONE;
+
+    private long countedCommits;
     private Optional<Seal> seal = Optional.empty();
     private long sealConfirmedAtMs;
 
@@ -68,15 +73,34 @@
             // The group's history has started again.
             observed = position;
             acknowledged = AcknowledgedCommits.NONE;
+            countedFrom = LogPosition.NONE;
+            countedCommits = 0;
         }
-        boolean sameTerm = sent.observed().term() == position.term();
-        long earliestIndex = sameTerm ? sent.observed().indexEntries() + 1 : 0;
-        LogPosition certain = new LogPosition(position.term(), Math.min(earliestIndex, position.indexEntries()));
+        LogPosition earliest = earliestLatest(sent, position.term());
+        LogPosition certain = position.covers(earliest) ? earliest : position;
         acknowledged = AcknowledgedCommits.max(acknowledged, new AcknowledgedCommits(certain, position));
         onObserved(position);
         return true;
     }
 
+    /**
+     * The earliest position that the latest acknowledged commit of a term can have, now that one more has succeeded. Each commit has a position of its
+     * own, later than the one that was observed when it was sent.
+     */
+    private LogPosition earliestLatest(SentCommit sent, long term) {
+        LogPosition floor = sent.observed();
+        if (floor.term() != term) {
+            return new LogPosition(term, 0);
+        }
+        if (countedFrom.term() != term || floor.indexEntries() >= countedFrom.indexEntries() + countedCommits) {
+            countedFrom = floor;
+            countedCommits = 1;
+        } else if (floor.covers(countedFrom)) {
+            countedCommits++;
+        }
+        return new LogPosition(term, countedFrom.indexEntries() + countedCommits);
+    }
+
     /** Applies a seal in an update of the control leader. */
     public void onSeal(Seal update) {
         sealConfirmedAtMs = clock.millis();
