--- a/control/src/main/java/org/hornbeamspread/control/routes/ReportedCommits.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ReportedCommits.java
@@ -77,14 +77,14 @@
 
     /**
      * Handles the proof of a primary. Returns the position of an acknowledged commit that its log lacks although the commit was reported
-     * before the proof was requested; empty if there is none.
+     * before the proof was requested; empty if there is none. A log of a later term that is shorter than the position lacks it too.
      */
     Optional<LogPosition> onProof(String service, LogPosition position, long requestedAtMs) {
         provenPositions.put(service, position);
         Report report = reports.get(service);
         if (report == null
                 || report.receivedAtMs() >= requestedAtMs
-                || position.covers(report.acknowledged().certain())) {
+                || includes(position, report.acknowledged().certain())) {
             return Optional.empty();
         }
         reports.remove(service);
@@ -92,6 +92,10 @@
         return Optional.of(report.acknowledged().certain());
     }
 
+    private static boolean includes(LogPosition end, LogPosition position) {
+        return end.covers(position) && end.indexEntries() >= position.indexEntries();
+    }
+
     AcknowledgedCommits acknowledged(String service) {
         Report report = reports.get(service);
         return report == null ? AcknowledgedCommits.NONE : report.acknowledged();
