A service without synchronous replicas does not wait for acknowledged commits

The promise holds for services with sync_replicas alone; the others are not sealed, and no report holds up their promotion.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -156,6 +156,10 @@
         private long evidenceLoggedAtMs;
         private long concludedAtMs = Long.MIN_VALUE / 2;
         private boolean settled = true;
+
+        /** False if a primary acknowledges commits that no replica holds: a promotion may lose these, and waits for none. */
+        private boolean acknowledgedByReplicas = true;
+
         private boolean discarded;
         private Map<String, Long> lastAnnouncedAtMs = Map.of();
 
@@ -210,7 +214,7 @@
             }
             GroupSnapshot snapshot = snapshotSupplier.get();
             List<SyncFailoverEffect> effects = failover.step(snapshot);
-            watchingProxies.seal(service, failover.seal());
+            watchingProxies.seal(service, failover.seal().filter(seal -> acknowledgedByReplicas));
             effects.forEach(effect -> apply(effect, snapshot));
             if (!settled && clock.millis() - evidenceLoggedAtMs > EVIDENCE_LOG_INTERVAL_MS) {
                 logEvidence(snapshot);
@@ -242,6 +246,8 @@
                     .filter(group -> group.getGroup().equals(service))
                     .findFirst()
                     .orElseGet(GroupTerm::getDefaultInstance);
+            acknowledgedByReplicas = state.getRoutes().getServicesList().stream()
+                    .noneMatch(definition -> definition.getName().equals(service) && definition.getSyncReplicas() == 0);
             settled = record.getTerm() == 0 || record.getWritable();
             promotedInstanceId = record.getWritable() ? record.getPrimaryId() : "";
             List<MemberView> memberViews = members.stream()
@@ -273,7 +279,7 @@
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
                     probe.isRefused(),
                     primaryId.filter(this::isUnreachableFromProxies).isPresent(),
-                    watchingProxies.commitReports(service));
+                    acknowledgedByReplicas ? watchingProxies.commitReports(service) : CommitReports.NONE);
         }
 
         private boolean isUnreachableFromProxies(String primaryId) {
