A new leader, and a seal that begins late, wait for the reports of proxies

Reports are in the leader's memory, and none is awaited from proxies that haven't found it. And where the demotion of a reachable primary had no response, the seal began 1.5 s after the token, when the time for reports was over.

Now reports count as pending during a leader's first second, in which proxies find it, and the 400 ms count from the begin of the seal. A failover that meets a change of leaders takes up to 0.4 s longer than the 0.6 s of a new leader's detection.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.hornbeamspread.core.failover.CommitReports;
+import org.hornbeamspread.core.failover.PromotionSeal;
 import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
@@ -55,6 +56,7 @@
     private final Map<String, Watcher> watchers = new HashMap<>();
     private final PublishedView view = new PublishedView();
     private long leaderTerm;
+    private long leaderSinceMs;
     private ControlState state = ControlState.getDefaultInstance();
 
     /**
@@ -119,10 +121,10 @@
     /** What proxies have reported of a service's acknowledged commits. */
     CommitReports commitReports(String service) {
         long token = commits.sealToken(service);
-        boolean pending = token > 0
-                && recentWatchers().stream()
-                        .anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
-        return new CommitReports(commits.acknowledged(service), pending);
+        boolean newLeader = clock.millis() - leaderSinceMs <= PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS;
+        boolean unsealed =
+                recentWatchers().stream().anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
+        return new CommitReports(commits.acknowledged(service), newLeader || unsealed);
     }
 
     private List<Watcher> recentWatchers() {
@@ -160,6 +162,7 @@
 
     void onLeadershipGained(long term) {
         leaderTerm = term;
+        leaderSinceMs = clock.millis();
         view.reset();
         commits.onLeadershipGained();
     }
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -110,7 +110,7 @@
         this.coverage = new ReplicaCoverage(clock, timings);
         this.pauses = new ReplicaPauses(clock, leaderTerm);
         this.takeover = new PromotionTakeover(clock, timings, fencing);
-        this.seal = new PromotionSeal(fencing);
+        this.seal = new PromotionSeal(clock, fencing);
         this.lastPrimaryProofAtMs = clock.millis() + timings.initialDetectionMs() - timings.detectionMs();
     }
 
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -42,7 +42,7 @@
     private static final List<PendingResume> RESUME_OF_A = List.of(new PendingResume("a", 0, 1));
 
     private final ManualClock clock = new ManualClock();
-    private final SyncGroupFailover failover = new SyncGroupFailover(clock, TIMINGS, 1);
+    private SyncGroupFailover failover = new SyncGroupFailover(clock, TIMINGS, 1);
     private List<MemberView> members = List.of(PRIMARY, A, B);
     private long token;
     private CommitReports commitReports = CommitReports.NONE;
@@ -188,6 +188,49 @@
         assertThat(failover.seal()).isEmpty();
     }
 
+    /** A new leader has no reports, and chose an instance that lacked what proxies had reported to its predecessor. */
+    @Test
+    void newLeaderAwaitsTheCommitReportsOfProxies() {
+        token = 1;
+        concluded = false;
+        failover = new SyncGroupFailover(clock, TIMINGS, 2);
+        commitReports = new CommitReports(AcknowledgedCommits.NONE, true);
+        assertThat(step(9_000)).containsExactly(new RaiseToken(1));
+        failover.onLogCommitEnded(true);
+        token = 2;
+        for (int elapsedMs = 0; elapsedMs < 1_000; elapsedMs += 100) {
+            failover.onStatus("a", replica(3, 60, 4));
+            failover.onStatus("b", replica(3, 60, 4));
+            assertThat(hasChoice(step(9_000))).isFalse();
+            advance(100);
+        }
+        advance(100);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(hasChoice(step(9_000))).isTrue();
+    }
+
+    /** The demotion of a reachable primary had no response, and the choice did not wait for the reports under the seal that followed. */
+    @Test
+    void commitReportsUnderALateSealAreAwaited() {
+        advance(4_000);
+        members = List.of(new MemberView("p", true, true, 0, false, 0), A, B);
+        assertThat(step(0)).containsExactly(new RaiseToken(0));
+        failover.onLogCommitEnded(true);
+        token = 1;
+        concluded = false;
+        commitReports = new CommitReports(acknowledged(60, 60), true);
+        advance(1_600);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(9_000))).isFalse();
+        assertThat(failover.seal()).isPresent();
+        commitReports = new CommitReports(acknowledged(60, 60), false);
+
+        assertThat(hasChoice(step(9_000))).isTrue();
+    }
+
     /** A seal under a token that no leader commits would stop the writes at a working primary. */
     @Test
     void proxiesAreSealedOnlyUnderACommittedToken() {
