--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
@@ -102,6 +103,21 @@
                 view.configuration(), view.instances(), Map.of(FakeDatabase.SERVICE, database.id), view.proxyCount()));
     }
 
+    /** Delivers a seal: commits up to a term of the log are not acknowledged. */
+    void seal(long token, long logTerm) {
+        engine.onSeals(Map.of(FakeDatabase.SERVICE, new Seal(token, logTerm)), Map.of());
+    }
+
+    /** Delivers a view in which a database was promoted under a token, and that contains no seal. */
+    void endSeal(FakeDatabase promoted, long token) {
+        List<DatabaseInstance> instances =
+                databases.stream().map(FakeDatabase::instance).toList();
+        view = SystemView.of(
+                view.configuration(), instances, Map.of(FakeDatabase.SERVICE, promoted.id), view.proxyCount());
+        engine.onView(view);
+        engine.onSeals(Map.of(), Map.of(FakeDatabase.SERVICE, token));
+    }
+
     /** Delivers a position of the primary, which control requested some time ago. */
     void deliverPositionFromControl(long ageMs) {
         engine.onSharedPosition(FakeDatabase.SERVICE, clock.millis() - ageMs, engine.clockEpoch(), LogPosition.NONE);
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/FakeDatabase.java
@@ -43,6 +43,7 @@
     /** Whether neither statements nor connection attempts get a response. */
     boolean unresponsive;
 
+    long logTerm = 1;
     long logEntries = 10;
     int connectionLimit = Integer.MAX_VALUE;
     long serviceMs = 10;
@@ -280,7 +281,7 @@
         }
 
         private LogPosition position() {
-            return new LogPosition(1, logEntries);
+            return new LogPosition(logTerm, logEntries);
         }
 
         private boolean isClientRequest(SqlRequest request) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hornbeamspread.core.failover.AcknowledgedCommits;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.sql.SqlError;
 import org.hornbeamspread.core.sql.SqlRequest;
 import org.hornbeamspread.core.sql.SqlResult;
@@ -565,4 +567,165 @@
         harness.databases.forEach(database -> assertThat(FakeDatabase.requestIds(database.executedStatements))
                 .doesNotContain(SqlRequest.INTERNAL_ID));
     }
+
+    /** Commits that the old primary acknowledged while its successor was chosen were missing at the successor (issue 53). */
+    @Test
+    void aWriteDuringASealIsNotSentAndRefusedAsNotRun() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(100);
+        harness.seal(1, 1);
+        client.send("w2", new Write("item", "6"));
+        harness.run(200);
+
+        assertThat(client.lastReply().error()).hasValue(SqlError.BUSY);
+        assertThat(client.replyTimeMs()).isAtMost(200);
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("w1");
+    }
+
+    /** The commit may be missing at the successor: its success is not passed on. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aCommitInFlightWhenTheSealComesIsInDoubt(boolean transaction) {
+        harness.primary.serviceMs = 60;
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE);
+        if (transaction) {
+            client.send("b", new Begin(false)).send("s1", new Write("item", "5"));
+            harness.run(100);
+            client.send("c", new Commit());
+        } else {
+            client.send("w1", new Write("item", "5"));
+        }
+        harness.run(20);
+        harness.seal(1, 1);
+        harness.run(100);
+
+        assertThat(client.lastReply().error()).hasValue(SqlError.IN_DOUBT);
+        assertThat(client.lastReply().state()).isEqualTo(TransactionState.IDLE);
+        assertThat(harness.engine
+                        .acknowledgedCommits()
+                        .get(FakeDatabase.SERVICE)
+                        .acknowledged())
+                .isEqualTo(AcknowledgedCommits.NONE);
+    }
+
+    @Test
+    void aTransactionWithWritesIsAbortedAtItsCommitDuringASeal() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE)
+                .send("b", new Begin(false))
+                .send("s1", new Write("item", "5"));
+        harness.run(100);
+        harness.seal(1, 1);
+        client.send("c", new Commit());
+        harness.run(100);
+
+        assertThat(client.lastReply().error()).hasValue(SqlError.ABORTED);
+        assertThat(client.lastReply().state()).isEqualTo(TransactionState.IDLE);
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("s1");
+        assertThat(harness.primary.openConnections).isEmpty();
+    }
+
+    /** Reads need no successor; a COMMIT that wrote nothing acknowledges nothing. */
+    @Test
+    void readsAndReadOnlyTransactionsContinueDuringASeal() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE)
+                .send("b1", new Begin(false))
+                .send("s1", new Read("item"));
+        Client reader = harness.open(EngineHarness.BOUNDED_STALENESS_ROUTE).send("r0", new Read("item"));
+        harness.run(100);
+        harness.seal(1, 1);
+        client.send("c1", new Commit())
+                .send("b2", new Begin(true))
+                .send("s2", new Read("item"))
+                .send("c2", new Commit())
+                .send("r1", new Read("item"));
+        reader.send("r2", new Read("item"));
+        harness.run(200);
+
+        assertThat(client.replies).hasSize(7);
+        assertThat(client.replies.stream().allMatch(SqlResult::isSuccess)).isTrue();
+        assertThat(reader.lastReply().isSuccess()).isTrue();
+        assertThat(harness.engine
+                        .acknowledgedCommits()
+                        .get(FakeDatabase.SERVICE)
+                        .acknowledged())
+                .isEqualTo(AcknowledgedCommits.NONE);
+    }
+
+    /** The seal lasts until the takeover is known; the successor's commits must not wait for that. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void theSuccessorIsWrittenToWhileTheSealOfTheEarlierTermLasts(boolean announced) {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(100);
+        harness.seal(1, 1);
+        client.send("w2", new Write("item", "6"));
+        harness.run(30);
+        harness.primary.primary = false;
+        harness.nearReplica.primary = true;
+        harness.nearReplica.logTerm = 2;
+        if (announced) {
+            harness.loadConfiguration(2, 28, 1);
+        }
+        harness.announcePromotion(harness.nearReplica);
+        harness.run(60);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        assertThat(FakeDatabase.requestIds(harness.nearReplica.executedStatements))
+                .containsExactly("w2");
+        client.send("b", new Begin(false)).send("s", new Write("item", "7")).send("c", new Commit());
+        harness.run(100);
+        assertThat(client.lastReply().isSuccess()).isTrue();
+    }
+
+    /** A proxy that is cut off from control looks for the successor by itself, also during a seal. */
+    @Test
+    void withoutControlTheSuccessorIsFoundDuringASeal() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(100);
+        harness.seal(1, 1);
+        harness.engine.setControlReachable(false);
+        harness.primary.primary = false;
+        harness.farReplica.primary = true;
+        harness.farReplica.logTerm = 2;
+        client.send("w2", new Write("item", "6"));
+        harness.run(200);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        assertThat(FakeDatabase.requestIds(harness.farReplica.executedStatements))
+                .containsExactly("w2");
+    }
+
+    /** A primary that is kept after all was refused its writes for as long as a seal can last. */
+    @Test
+    void aPrimaryThatIsKeptIsWrittenToOnceTheSealHasEnded() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(100);
+        harness.seal(1, 1);
+        client.send("w2", new Write("item", "6"));
+        harness.run(30);
+        harness.endSeal(harness.primary, 1);
+        harness.run(60);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        assertThat(harness.engine
+                        .acknowledgedCommits()
+                        .get(FakeDatabase.SERVICE)
+                        .acknowledged())
+                .isEqualTo(new AcknowledgedCommits(new LogPosition(1, 12), new LogPosition(1, 12)));
+    }
+
+    /** A response to a client that has gone was not passed on: the session must not hold the connection or stop the engine. */
+    @Test
+    void aClientThatDisconnectsDuringASealLeavesNoWriteBehind() {
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(100);
+        harness.seal(1, 1);
+        client.send("w2", new Write("item", "6"));
+        harness.run(20);
+        client.session.orElseThrow().onClosed();
+        harness.endSeal(harness.primary, 1);
+        harness.run(300);
+
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("w1");
+    }
 }
