A proxy that has no proof of a sealed primary does not write to it either

Callers of a proxy that had not used the primary itself (it had just started, or read only from replicas) got IN_DOUBT for each write during a seal: the writes were sent to the old primary, ran there and were not acknowledged, and the router never came to know that primary, since only an acknowledged result counts as its proof.

Cause: an instance counted as sealed only if it was the primary that this proxy had proven. Now an instance that announces itself as primary is sealed too, unless it is the one that control has chosen. Instances that are no primary in the view are still tried when control is out of reach: the successor is found by its own response, and its log term is later than the sealed one.

Evidence: aWriteOfAProxyThatHasNotUsedThePrimaryIsNotSentDuringASeal, IN_DOUBT before, BUSY (not run) now.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ServiceState.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ServiceState.java
@@ -97,11 +97,6 @@
         return unreachableSinceMs;
     }
 
-    /** Whether an instance is the primary that may be about to be replaced, so that nothing is written there. */
-    boolean isSealed(String instanceId) {
-        return instanceId.equals(provenPrimaryId) && commits.isSealed();
-    }
-
     String provenPrimaryId() {
         return provenPrimaryId;
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -121,10 +121,7 @@
                 context.onRefused(RefusalReason.READ_ONLY_TRANSACTION);
                 fail(SqlError.READ_ONLY, "", RefusalReason.READ_ONLY_TRANSACTION.name());
             } else if (lease.isPresent() && mustNotCommit(lease.get())) {
-                lease.get().discard();
-                String instanceId = lease.get().instance().instanceId();
-                lease = Optional.empty();
-                fail(SqlError.ABORTED, instanceId, SessionContext.SEALED);
+                abortSealed(lease.get());
             } else if (lease.isPresent()) {
                 send(lease.get());
             } else {
@@ -136,9 +133,14 @@
         private boolean mustNotCommit(ConnectionLease heldLease) {
             return statement.kind() == ForwardedStatement.Kind.COMMIT
                     && hasWrites
-                    && context.router()
-                            .serviceState(route.service())
-                            .isSealed(heldLease.instance().instanceId());
+                    && context.router().isSealed(heldLease.instance());
+        }
+
+        /** Ends the transaction whose COMMIT was not sent. */
+        private void abortSealed(ConnectionLease heldLease) {
+            heldLease.discard();
+            lease = Optional.empty();
+            fail(SqlError.ABORTED, heldLease.instance().instanceId(), SessionContext.SEALED);
         }
 
         @Override
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
@@ -289,9 +289,18 @@
     }
 
     private boolean mayServe(ConnectionRequest request, DatabaseInstance instance) {
-        boolean writesSealed =
-                request.mayWrite && serviceState(instance.service()).isSealed(instance.instanceId());
-        return !writesSealed && mayBePrimary(instance);
+        return !(request.mayWrite && isSealed(instance)) && mayBePrimary(instance);
+    }
+
+    /** Whether an instance is, or may be, the primary that may be about to be replaced, so that nothing is written there. */
+    boolean isSealed(DatabaseInstance instance) {
+        String service = instance.service();
+        ServiceState state = serviceState(service);
+        if (instance.instanceId().equals(state.provenPrimaryId())) {
+            return state.commits.isSealed();
+        }
+        boolean chosen = instance.instanceId().equals(view.promotedIds().get(service));
+        return state.commits.sealedToken() > 0 && instance.primary() && !chosen;
     }
 
     private boolean mayBePrimary(DatabaseInstance instance) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -728,4 +728,15 @@
 
         assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("w1");
     }
+
+    /** A proxy that had no proof of the primary sent all its writes there, and each of them was in doubt. */
+    @Test
+    void aWriteOfAProxyThatHasNotUsedThePrimaryIsNotSentDuringASeal() {
+        harness.seal(1, 1);
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(300);
+
+        assertThat(client.lastReply().error()).hasValue(SqlError.BUSY);
+        assertThat(harness.primary.executedStatements).isEmpty();
+    }
 }
