A write that waits for a connection when the seal comes is not sent

Callers got IN_DOUBT for writes that had not been sent when the seal came: the seal was looked at when a write chose its pool, and not again when its turn came. Now it is looked at before a write is sent; the connection is released and the write is routed again, to the successor within its wait, or refused as not run. Such retries count with reason SEALED.

Evidence: aQueuedWriteIsNotSentOnceItsPrimaryIsSealed, and pipelinedWritesOfASessionAreHeldBackDuringASeal for a session's second request: IN_DOUBT before, BUSY (not run) now, and nothing ran.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -172,6 +172,12 @@
                     granted.instance().instanceId(), new FailureException(FailureType.CONNECTION_LOST, "silent"));
             return false;
         }
+        if (isWrite() && context.router().isSealed(granted.instance())) {
+            granted.release();
+            lease = Optional.empty();
+            context.router().retry(connectionRequest, RetryReason.SEALED);
+            return false;
+        }
         sent = granted.connection().isOpen();
         sentMs = context.nowMs();
         sentEpoch = context.clockEpoch();
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/RetryReason.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/RetryReason.java
@@ -17,7 +17,9 @@
     /** No connection could be opened. */
     CONNECT_FAILED,
     /** The expected wait at the instance is too long, and another instance may have free capacity. */
-    WAIT_TOO_LONG;
+    WAIT_TOO_LONG,
+    /** The primary may be about to be replaced. */
+    SEALED;
 
     static RetryReason of(SqlError error) {
         return switch (error) {
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -739,4 +739,39 @@
         assertThat(client.lastReply().error()).hasValue(SqlError.BUSY);
         assertThat(harness.primary.executedStatements).isEmpty();
     }
+
+    /** A write that waited for a connection when the seal came was sent, and was in doubt although it need not have run. */
+    @Test
+    void aQueuedWriteIsNotSentOnceItsPrimaryIsSealed() {
+        harness.loadConfiguration(2, 4, 1);
+        harness.primary.serviceMs = 60;
+        Client first = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        Client queued = harness.open(EngineHarness.PRIMARY_ROUTE).send("w2", new Write("item", "6"));
+        harness.run(20);
+        harness.seal(1, 1);
+        harness.run(300);
+
+        assertThat(first.lastReply().error()).hasValue(SqlError.IN_DOUBT);
+        assertThat(queued.lastReply().error()).hasValue(SqlError.BUSY);
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("w1");
+    }
+
+    /** Requests that are pipelined behind a write in flight are held back like others, and the session goes on afterwards. */
+    @Test
+    void pipelinedWritesOfASessionAreHeldBackDuringASeal() {
+        harness.primary.serviceMs = 40;
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE)
+                .send("w1", new Write("item", "5"))
+                .send("w2", new Write("item", "6"))
+                .send("r1", new Read("item"));
+        harness.run(20);
+        harness.seal(1, 1);
+        harness.run(400);
+
+        assertThat(client.replies.stream()
+                        .map(reply -> reply.error().map(Enum::name).orElse("DONE")))
+                .containsExactly("IN_DOUBT", "BUSY", "DONE")
+                .inOrder();
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("r1", "w1");
+    }
 }
