A COMMIT that the database refused as BUSY is not sent again during a seal

Callers got IN_DOUBT for a transaction that could have been ABORTED: the seal was looked at when COMMIT arrived, and not when it was sent again 20 ms after a refusal, or after its wait for a turn at the database. Now it is looked at each time before COMMIT is sent.

Evidence: aCommitIsNotSentAgainDuringASeal, IN_DOUBT before, ABORTED now, and COMMIT does not run.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -245,6 +245,10 @@
             if (completed || ended || lease.filter(heldLease::equals).isEmpty()) {
                 return false;
             }
+            if (mustNotCommit(heldLease)) {
+                abortSealed(heldLease);
+                return false;
+            }
             sent = heldLease.connection().isOpen();
             sentMs = context.nowMs();
             sentEpoch = context.clockEpoch();
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -774,4 +774,23 @@
                 .inOrder();
         assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("r1", "w1");
     }
+
+    /** A COMMIT that the database had refused as BUSY was sent again during the seal, and its result was in doubt. */
+    @Test
+    void aCommitIsNotSentAgainDuringASeal() {
+        harness.primary.injectedError =
+                request -> request.id().equals("c") ? Optional.of(SqlError.BUSY) : Optional.empty();
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE)
+                .send("b", new Begin(false))
+                .send("s1", new Write("item", "5"));
+        harness.run(100);
+        client.send("c", new Commit());
+        harness.run(15);
+        harness.seal(1, 1);
+        harness.primary.injectedError = request -> Optional.empty();
+        harness.run(200);
+
+        assertThat(client.lastReply().error()).hasValue(SqlError.ABORTED);
+        assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("s1");
+    }
 }
