A seal lasts while its leader confirms the view that has it

After 23 s of a promotion without a change of the view, proxies in touch with control wrote to the old primary again and acknowledged its commits, although control still had the seal: only an update with a changed view confirmed a seal, and an update at the end of the hold time has no view. Such an update now confirms the seals of the view that the proxy has. Seals that the view no longer has are not confirmed, so that one which a replaced leader has left behind ends at its timeout.

Evidence: SystemWatchTest#sealLastsWhileUnchangedUpdatesOfItsLeaderArrive, no report after 60 s before, sealed now; the other cases (reported once to each leader, in each request while sealed, seals in deltas, unusable seals) are green on the code before too.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -85,6 +85,12 @@
     private long requestedAtMs;
     private long requestEpoch;
 
+    /** The seals in the latest view, by service. */
+    private Map<String, Seal> seals = Map.of();
+
+    /** The token of the latest promotion in the latest view, by service. */
+    private Map<String, Long> promotedTokens = Map.of();
+
     /** What the current leader has received of this proxy's acknowledged commits, by service. */
     private Map<String, AcknowledgedCommits> reportedCommits = Map.of();
 
@@ -280,6 +286,10 @@
             SystemView view = engine.view();
             engine.onView(SystemView.of(configuration, view.instances(), view.promotedIds(), proxyCount));
         }
+        if (!update.getChanged() && !seals.isEmpty()) {
+            // The leader's view is unchanged: its seals are still in force.
+            engine.onSeals(seals, promotedTokens);
+        }
         // Control sent the update at this time or later: the time on the network is not known.
         long sentAtMs = Math.min(requestedAtMs + update.getHeldMs(), clock.millis());
         for (int i = 0; i < positions.size(); i++) {
@@ -317,11 +327,11 @@
                 "proxies",
                 proxyCount);
         engine.onView(SystemView.of(configuration, instances, promoted, proxyCount));
-        Map<String, Seal> seals = new TreeMap<>();
+        seals = new TreeMap<>();
         update.getSealedList()
                 .forEach(service ->
                         seals.put(service.getService(), new Seal(service.getFencingToken(), service.getLogTerm())));
-        Map<String, Long> promotedTokens = new TreeMap<>();
+        promotedTokens = new TreeMap<>();
         update.getPromotedList()
                 .forEach(instance -> promotedTokens.put(instance.getService(), instance.getFencingToken()));
         engine.onSeals(seals, promotedTokens);
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -11,16 +12,21 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.hornbeamspread.core.failover.CommitTracker;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.core.route.DatabaseInstance;
+import org.hornbeamspread.protocol.schema.CommitReport;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.Position;
 import org.hornbeamspread.protocol.schema.PrimaryPosition;
+import org.hornbeamspread.protocol.schema.PromotedInstance;
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
+import org.hornbeamspread.protocol.schema.SealedService;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
 import org.hornbeamspread.transport.Envelopes;
@@ -30,6 +36,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A watch that stops after one bad message leaves its proxy with an old view for as long as the process runs. */
@@ -57,6 +64,8 @@
             EventLog.NONE,
             new PrometheusRegistry());
 
+    private Watch lastWatch;
+
     private record Watch(PeerConnection connection, WatchSystem request, Consumer<Envelope> answer) {
         void answer(SystemUpdate.Builder update) {
             answer.accept(Envelope.newBuilder().setSystemUpdate(update).build());
@@ -152,6 +161,159 @@
         nextWatch();
     }
 
+    /** A report that is repeated costs each request; one that a new leader doesn't get lets it promote a database without the commit. */
+    @Test
+    void acknowledgedCommitsAreReportedOnceToEachLeader() throws InterruptedException {
+        start();
+        Watch first = nextWatch();
+        assertThat(first.request().getCommitsList()).isEmpty();
+        acknowledge(41);
+        first.answer(update(1));
+        Watch second = nextWatch();
+        assertThat(second.request().getCommitsList()).containsExactly(report(41, 0));
+        second.answer(update(1));
+        Watch third = nextWatch();
+        assertThat(third.request().getCommitsList()).isEmpty();
+        acknowledge(42);
+        third.answer(update(1));
+        Watch fourth = nextWatch();
+        assertThat(fourth.request().getCommitsList()).containsExactly(report(42, 0));
+
+        fourth.answer.accept(notLeader(""));
+        Watch afterFailure = nextWatch();
+        assertThat(afterFailure.request().getCommitsList()).containsExactly(report(42, 0));
+        afterFailure.answer(update(1).setLeaderTerm(2));
+        Watch ofNewLeader = nextWatch();
+        assertThat(ofNewLeader.request().getCommitsList()).containsExactly(report(42, 0));
+        ofNewLeader.answer(update(1).setLeaderTerm(2));
+        assertThat(nextWatch().request().getCommitsList()).isEmpty();
+    }
+
+    /** Control awaits the report of each proxy in touch before it chooses a successor; a proxy may not have used the service yet. */
+    @Test
+    void sealedServicesAreReportedInEachRequestUntilTheSealEnds() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addInstances(instance("p", 1)).addSealed(sealed("ledger", 4, 2)));
+        Watch sealed = nextWatch();
+        assertThat(sealed.request().getCommitsList()).containsExactly(emptyReport("ledger", 4));
+        sealed.answer(update(1).setChanged(false));
+        Watch unchanged = nextWatch();
+        assertThat(unchanged.request().getCommitsList()).containsExactly(emptyReport("ledger", 4));
+        unchanged.answer(update(2).addInstances(instance("p", 1)));
+        Watch notLeading = nextWatch();
+        assertThat(notLeading.request().getCommitsList()).containsExactly(emptyReport("ledger", 4));
+        notLeading.answer(update(3)
+                .addInstances(instance("p", 1).toBuilder().setPrimary(true))
+                .addPromoted(PromotedInstance.newBuilder()
+                        .setService("ledger")
+                        .setInstanceId("p")
+                        .setFencingToken(4)));
+
+        assertThat(nextWatch().request().getCommitsList()).isEmpty();
+    }
+
+    /** A delta carries the complete list of seals: one that is left out of it has ended, and the others go on. */
+    @Test
+    void sealsInADeltaReplaceThoseBefore() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addSealed(sealed("ledger", 4, 2)).addSealed(sealed("orders", 9, 2)));
+        nextWatch();
+        assertThat(lastWatch.request().getCommitsList())
+                .containsExactly(emptyReport("ledger", 4), emptyReport("orders", 9));
+        lastWatch.answer(update(2)
+                .setDelta(true)
+                .addInstances(instance("p", 1).toBuilder().setPrimary(true))
+                .addPromoted(PromotedInstance.newBuilder()
+                        .setService("ledger")
+                        .setInstanceId("p")
+                        .setFencingToken(4))
+                .addSealed(sealed("orders", 10, 2)));
+
+        assertThat(nextWatch().request().getCommitsList()).containsExactly(emptyReport("orders", 10));
+    }
+
+    /**
+     * A view without a change does not repeat its seals. Those of a promotion that took longer than a seal's timeout ended at proxies in touch,
+     * which wrote to the old primary again.
+     */
+    @Test
+    void sealLastsWhileUnchangedUpdatesOfItsLeaderArrive() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addSealed(sealed("ledger", 4, 2)));
+        for (int i = 0; i < 4; i++) {
+            Watch held = nextWatch();
+            clock.advance(Duration.ofSeconds(15));
+            held.answer(update(1).setChanged(false));
+        }
+
+        assertThat(nextWatch().request().getCommitsList()).containsExactly(emptyReport("ledger", 4));
+    }
+
+    /** A seal that a replaced leader has left behind is not prolonged by the updates of its successor, which does not know it. */
+    @Test
+    void sealThatNoLeaderConfirmsEnds() throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addSealed(sealed("ledger", 4, 2)));
+        nextWatch().answer(update(1).setLeaderTerm(2));
+        Watch held = nextWatch();
+        assertThat(held.request().getCommitsList()).containsExactly(emptyReport("ledger", 4));
+        clock.advance(Duration.ofSeconds(60));
+        held.answer(update(1).setLeaderTerm(2).setChanged(false));
+
+        assertThat(nextWatch().request().getCommitsList()).isEmpty();
+    }
+
+    /** The name of the service may be unknown, and numbers out of range: the update's instances are used, and polling continues. */
+    @ParameterizedTest
+    @CsvSource({"'', 0, 0", "unknown, 1, 1", "ledger, -1, -1", "ledger, 9223372036854775807, 9223372036854775807"})
+    void unusableSealDoesNotEndTheWatch(String service, long token, long term) throws InterruptedException {
+        start();
+        nextWatch().answer(update(1).addInstances(instance("a", 1)).addSealed(sealed(service, token, term)));
+        assertThat(nextWatch().request().getSystemVersion()).isEqualTo(1);
+        lastWatch.answer(update(2).setDelta(true).addInstances(instance("b", 1)));
+
+        assertThat(nextWatch().request().getSystemVersion()).isEqualTo(2);
+        assertThat(instanceIds()).containsExactly("a", "b").inOrder();
+    }
+
+    private void acknowledge(long entries) {
+        CompletableFuture.runAsync(
+                        () -> {
+                            engine.onSharedPosition("ledger", clock.millis(), 0, new LogPosition(2, entries - 1));
+                            CommitTracker commits = engine.acknowledgedCommits().get("ledger");
+                            commits.onSuccess(commits.onSend(), new LogPosition(2, entries));
+                        },
+                        group.next())
+                .join();
+    }
+
+    private static CommitReport report(long entries, long sealedToken) {
+        Position position = Position.newBuilder().setTerm(2).setIndex(entries).build();
+        return CommitReport.newBuilder()
+                .setService("ledger")
+                .setCertain(position)
+                .setPossible(position)
+                .setSealedToken(sealedToken)
+                .build();
+    }
+
+    private static CommitReport emptyReport(String service, long sealedToken) {
+        return CommitReport.newBuilder()
+                .setService(service)
+                .setCertain(Position.getDefaultInstance())
+                .setPossible(Position.getDefaultInstance())
+                .setSealedToken(sealedToken)
+                .build();
+    }
+
+    private static SealedService sealed(String service, long token, long term) {
+        return SealedService.newBuilder()
+                .setService(service)
+                .setFencingToken(token)
+                .setLogTerm(term)
+                .build();
+    }
+
     private static Envelope notLeader(String detail) {
         return Envelopes.failureEnvelope(new FailureException(FailureType.NOT_LEADER, detail));
     }
@@ -177,6 +339,7 @@
     private Watch nextWatch() throws InterruptedException {
         Watch watch = watches.poll(TIMEOUT_S, TimeUnit.SECONDS);
         assertThat(watch).isNotNull();
+        lastWatch = watch;
         return watch;
     }
 
