A report that cannot be read does not hold up its proxy

A watch request with an unreadable position (a negative term) threw on the routes thread: the proxy got no update before the end of its hold time, neither a configuration nor a seal, and the reports behind that one were not read. Now the report is refused with the event commit_report_refused; it does not count as a report under a seal.

Evidence: WatchingProxiesTest#unreadableReportDoesNotHoldUpTheProxy, FailureException before, green now. With it the tests of reports and seals on the side of control, green on the code before: ReportedCommitsTest, and the cases of WatchingProxiesTest (sent to all at once, pending, silent proxies, a proxy without reports, expired ones, bytes of a request).

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -172,8 +172,7 @@
         watcher.replyCallback = Optional.of(callback);
         watcher.sealedTokens.clear();
         for (CommitReport report : request.getCommitsList()) {
-            commits.onReport(report, watcher.receivedAtMs);
-            watcher.sealedTokens.put(report.getService(), report.getSealedToken());
+            onReport(watcher, report);
         }
         if (!isUpToDate(request) || request.getPositionsWanted()) {
             sendUpdate(watcher);
@@ -181,6 +180,23 @@
         return commits.hasSeals() && request.getCommitsCount() > 0;
     }
 
+    /** Handles a report of a proxy. One that can't be read must not keep the proxy from its updates. */
+    private void onReport(Watcher watcher, CommitReport report) {
+        try {
+            commits.onReport(report, watcher.receivedAtMs);
+            watcher.sealedTokens.put(report.getService(), report.getSealedToken());
+        } catch (FailureException e) {
+            events.record(
+                    "commit_report_refused",
+                    "proxy",
+                    watcher.request.getProxyId(),
+                    "service",
+                    report.getService(),
+                    "cause",
+                    e.getMessage());
+        }
+    }
+
     /**
      * Replaces the published state, and answers the proxies that are not up to date.
      *
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -5,18 +5,25 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.hornbeamspread.core.failover.CommitReports;
+import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
+import org.hornbeamspread.protocol.schema.CommitReport;
 import org.hornbeamspread.protocol.schema.ControlState;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.GroupTerm;
+import org.hornbeamspread.protocol.schema.Position;
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
 import org.hornbeamspread.protocol.schema.RegisteredInstance;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
+import org.hornbeamspread.protocol.schema.SealedService;
 import org.hornbeamspread.protocol.schema.SystemUpdate;
 import org.hornbeamspread.protocol.schema.WatchSystem;
+import org.hornbeamspread.transport.Envelopes;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -28,6 +35,9 @@
  * counted observations let control replace a working primary, or keep one that proxies can't reach.
  */
 final class WatchingProxiesTest {
+    private static final int LONGEST_HOLD_MS = 800;
+    private static final int BYTES_PER_SECOND_AND_NODE = 13_000;
+
     private static final ControlState STATE_WITH_VERSION_7 = ControlState.newBuilder()
             .setRoutes(RouteConfigurationDocument.newBuilder().setVersion(7))
             .build();
@@ -236,6 +246,164 @@
         assertThat(proxies.stalledWriteMs("p")).isEqualTo(0);
     }
 
+    /** A proxy that gets the seal at the end of its hold time acknowledges commits until then. */
+    @Test
+    void sealIsSentToAllProxiesAtOnce() {
+        watch(0, 100);
+        assertThat(answers).isEmpty();
+        proxies.seal("ledger", Optional.of(new Seal(4, 2)));
+
+        assertThat(answers).hasSize(100);
+        answers.forEach(answer -> assertThat(answer.getSystemUpdate().getSealedList())
+                .containsExactly(SealedService.newBuilder()
+                        .setService("ledger")
+                        .setFencingToken(4)
+                        .setLogTerm(2)
+                        .build()));
+        proxies.seal("ledger", Optional.of(new Seal(4, 2)));
+        watchSealed("p0", 4);
+        assertThat(answers).hasSize(100);
+        proxies.seal("ledger", Optional.empty());
+        assertThat(lastUpdate().getChanged()).isTrue();
+        assertThat(lastUpdate().getSealedList()).isEmpty();
+    }
+
+    /** A proxy that has not reported may acknowledge more: a successor that is chosen before lacks these commits. */
+    @Test
+    void reportsArePendingUntilEveryProxyInTouchHasReported() {
+        watch(0, 2);
+        assertThat(proxies.commitReports("ledger").pending()).isFalse();
+        proxies.seal("ledger", Optional.of(new Seal(4, 2)));
+        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        watchSealed("p0", 4);
+        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        watchSealed("p1", 3);
+        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        assertThat(watchSealed("p1", 4)).isTrue();
+
+        assertThat(proxies.commitReports("ledger").pending()).isFalse();
+        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+        assertThat(proxies.commitReports("orders")).isEqualTo(CommitReports.NONE);
+    }
+
+    /** A new token asks for new reports: between the seals a proxy may have acknowledged. */
+    @Test
+    void reportUnderAnEarlierTokenIsNotOneUnderALaterToken() {
+        watchSealed("p0", 4);
+        proxies.seal("ledger", Optional.of(new Seal(5, 2)));
+
+        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+    }
+
+    /** A proxy that was killed or cut off would hold up each promotion. */
+    @ParameterizedTest
+    @CsvSource({"500, true", "501, false"})
+    void silentProxiesAreNotAwaited(long silentMs, boolean pending) {
+        watch(0, 1);
+        proxies.seal("ledger", Optional.of(new Seal(4, 2)));
+        advance(silentMs);
+
+        assertThat(proxies.commitReports("ledger").pending()).isEqualTo(pending);
+    }
+
+    /** A proxy of an earlier version reports nothing: its requests alone are no report. Only the bound of the choice ends the wait for it. */
+    @Test
+    void proxyWithoutReportsStaysPendingAndKeepsWhatOthersReported() {
+        watchSealed("p0", 4);
+        proxies.seal("ledger", Optional.of(new Seal(4, 2)));
+        for (int i = 0; i < 5; i++) {
+            watchSealed("p0", 4);
+            assertThat(proxies.watch(upToDateWatchRequest("old").build(), answers::add))
+                    .isFalse();
+            advance(100);
+            assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        }
+        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+    }
+
+    /** What a proxy acknowledged before it was killed is acknowledged all the same. */
+    @Test
+    void reportOfAProxyThatHasExpiredCounts() {
+        watchSealed("p0", 0);
+        advance(10_001);
+        proxies.answerExpiredWatches();
+
+        assertThat(proxies.liveProxies()).isEqualTo(0);
+        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+    }
+
+    /** A report that could not be read kept its proxy from the update that it was due, and the reports behind it from being read. */
+    @Test
+    void unreadableReportDoesNotHoldUpTheProxy() {
+        WatchSystem.Builder request = watchRequest("p0")
+                .addCommits(CommitReport.newBuilder()
+                        .setService("orders")
+                        .setCertain(Position.newBuilder().setTerm(-1))
+                        .setSealedToken(9))
+                .addCommits(report("ledger", 4));
+        proxies.watch(request.build(), answers::add);
+
+        assertThat(lastUpdate().getConfiguration().getVersion()).isEqualTo(7);
+        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+        proxies.seal("orders", Optional.of(new Seal(9, 2)));
+        assertThat(proxies.commitReports("orders").pending()).isTrue();
+    }
+
+    @Test
+    void sealsOfAnEarlierLeadershipAreNotPublished() {
+        proxies.seal("ledger", Optional.of(new Seal(4, 2)));
+        proxies.onLeadershipGained(4);
+        proxies.publish(STATE_WITH_VERSION_7, List.of(), List.of());
+        proxies.watch(watchRequest("p0").build(), answers::add);
+
+        assertThat(lastUpdate().getSealedList()).isEmpty();
+        assertThat(proxies.commitReports("ledger").pending()).isFalse();
+    }
+
+    /**
+     * 100 proxies send their requests at the longest hold time. Control's side is allowed 13 KB/s for each node, so that a request may have that
+     * much for each hold time, with observations and reports of 14 services, all of them sealed.
+     */
+    @Test
+    void requestsWithReportsOfAllServicesStayWithinTheBytesOfANode() {
+        WatchSystem.Builder request = upToDateWatchRequest("proxy-gnr-a-100").setFailureDomain("gnr-a");
+        for (int i = 0; i < 14; i++) {
+            String service = "service-" + i + "-huvo11a";
+            request.addObservations(PrimaryObservation.newBuilder()
+                    .setInstanceId("i-55fed9f25a")
+                    .setSinceSuccessMs(4_999)
+                    .setOldestWriteMs(4_999)
+                    .setUnreachableMs(4_999));
+            request.addCommits(report(service, Integer.MAX_VALUE).toBuilder()
+                    .setCertain(Envelopes.position(new LogPosition(Integer.MAX_VALUE, Integer.MAX_VALUE)))
+                    .setPossible(Envelopes.position(new LogPosition(Integer.MAX_VALUE, Integer.MAX_VALUE))));
+        }
+        Envelope envelope = Envelope.newBuilder().setWatchSystem(request).build();
+
+        assertThat(envelope.getSerializedSize() * 1_000 / LONGEST_HOLD_MS).isAtMost(BYTES_PER_SECOND_AND_NODE);
+    }
+
+    private boolean watchSealed(String proxyId, long sealedToken) {
+        return proxies.watch(
+                watchRequest(proxyId)
+                        .setLeaderTerm(3)
+                        .setSystemVersion(2)
+                        .setConfigurationVersion(7)
+                        .addCommits(report("ledger", sealedToken))
+                        .build(),
+                answers::add);
+    }
+
+    private static CommitReport report(String service, long sealedToken) {
+        Position position = Envelopes.position(new LogPosition(2, 40));
+        return CommitReport.newBuilder()
+                .setService(service)
+                .setCertain(position)
+                .setPossible(position)
+                .setSealedToken(sealedToken)
+                .build();
+    }
+
     private static WatchSystem.Builder watchRequest(String proxyId) {
         return WatchSystem.newBuilder().setProxyId(proxyId);
     }
