Reports of acknowledged commits outlive the leader that began a promotion

The bounds are committed with the token and with the choice, which are written anyway, and count until the promotion is concluded.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hornbeamspread.control.ReplicatedLog;
+import org.hornbeamspread.core.failover.AcknowledgedCommits;
 import org.hornbeamspread.core.failover.CommitReports;
 import org.hornbeamspread.core.failover.GroupSnapshot;
 import org.hornbeamspread.core.failover.MemberView;
@@ -35,6 +36,7 @@
 import org.hornbeamspread.protocol.schema.ControlState;
 import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.SetGroupTerms;
+import org.hornbeamspread.transport.Envelopes;
 import org.hornbeamspread.transport.RouteMessages;
 
 /** Runs a {@link SyncGroupFailover} for each service, and applies its effects. Confined to the routes thread. */
@@ -279,7 +281,16 @@
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
                     probe.isRefused(),
                     primaryId.filter(this::isUnreachableFromProxies).isPresent(),
-                    acknowledgedByReplicas ? watchingProxies.commitReports(service) : CommitReports.NONE);
+                    acknowledgedByReplicas ? commitReports(record) : CommitReports.NONE);
+        }
+
+        /** The reports of proxies to this leader, and those to the leaders before it that began the promotion in progress. */
+        private CommitReports commitReports(GroupTerm record) {
+            CommitReports reports = watchingProxies.commitReports(service);
+            AcknowledgedCommits committed = new AcknowledgedCommits(
+                    Envelopes.position(record.getAcknowledgedCertain()),
+                    Envelopes.position(record.getAcknowledgedPossible()));
+            return new CommitReports(AcknowledgedCommits.max(reports.acknowledged(), committed), reports.pending());
         }
 
         private boolean isUnreachableFromProxies(String primaryId) {
@@ -308,15 +319,31 @@
                         snapshot.stalledWriteMs());
             }
             if (effect instanceof SyncFailoverEffect.RaiseToken raise) {
-                commitGroupTerm(raise.expectedToken(), raise.expectedToken() + 1, "", false, raise.unsettledChoices());
+                commitGroupTerm(
+                        raise.expectedToken(),
+                        raise.expectedToken() + 1,
+                        "",
+                        false,
+                        raise.unsettledChoices(),
+                        snapshot.commitReports().acknowledged());
             } else if (effect instanceof SyncFailoverEffect.Choose choose) {
                 logEvidence(snapshot);
                 commitGroupTerm(
-                        choose.token(), choose.token(), choose.instanceId(), false, snapshot.unsettledChoices());
+                        choose.token(),
+                        choose.token(),
+                        choose.instanceId(),
+                        false,
+                        snapshot.unsettledChoices(),
+                        snapshot.commitReports().acknowledged());
             } else if (effect instanceof SyncFailoverEffect.Conclude conclude) {
                 concludedAtMs = clock.millis();
                 commitGroupTerm(
-                        conclude.token(), conclude.token(), conclude.instanceId(), true, conclude.unsettledChoices());
+                        conclude.token(),
+                        conclude.token(),
+                        conclude.instanceId(),
+                        true,
+                        conclude.unsettledChoices(),
+                        AcknowledgedCommits.NONE);
             } else if (effect instanceof SyncFailoverEffect.Promote promote) {
                 requestPromotion(promote);
             } else if (effect instanceof SyncFailoverEffect.Recover recover) {
@@ -333,15 +360,23 @@
         }
 
         private void commitGroupTerm(
-                long expectedToken, long token, String instanceId, boolean concluded, Set<String> unsettledIds) {
-            GroupTerm newTerm = GroupTerm.newBuilder()
+                long expectedToken,
+                long token,
+                String instanceId,
+                boolean concluded,
+                Set<String> unsettledIds,
+                AcknowledgedCommits acknowledged) {
+            GroupTerm.Builder newTerm = GroupTerm.newBuilder()
                     .setGroup(service)
                     .setExpectedTerm(expectedToken)
                     .setTerm(token)
                     .setPrimaryId(instanceId)
                     .setWritable(concluded)
-                    .addAllUnsettledIds(new TreeSet<>(unsettledIds))
-                    .build();
+                    .addAllUnsettledIds(new TreeSet<>(unsettledIds));
+            if (!acknowledged.equals(AcknowledgedCommits.NONE)) {
+                newTerm.setAcknowledgedCertain(Envelopes.position(acknowledged.certain()))
+                        .setAcknowledgedPossible(Envelopes.position(acknowledged.possible()));
+            }
             log.propose(ControlCommand.newBuilder()
                             .setSetGroupTerms(SetGroupTerms.newBuilder().addGroups(newTerm))
                             .build())
