The order to promote an instance is sent only while every copy is counted

The choice was made among three members; a fourth registered 3 ms later, and 11 ms after that the order went out, since only members that had responded were compared. Four copies with two fenced are no proof.

Now the proof is repeated before the first order, with the members of that moment: a new member is asked first. SyncGroupFailoverTest: chosenInstanceIsNotPromotedBeforeADatabaseThatRegisteredSinceHasResponded, red before.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -618,11 +618,14 @@
             return List.of(new Conclude(ownToken, chosenId, snapshot.unsettledChoices()));
         }
         boolean currentPrimary = isCurrentPrimary(snapshot, chosenId);
-        if (!promotionRequested && !currentPrimary && isOutdatedChoice(snapshot, chosenId)) {
+        Optional<String> candidate = candidate(snapshot);
+        boolean keepsPrimary =
+                snapshot.promotedMember().filter(MemberView::primary).isPresent();
+        if (!promotionRequested && !keepsPrimary && isOutdatedChoice(snapshot, chosenId, candidate, nowMs)) {
             rejectedCandidate = Optional.of(chosenId);
             return raiseToken(snapshot);
         }
-        if (!promotionRequested || currentPrimary || candidate(snapshot).equals(Optional.of(chosenId))) {
+        if (currentPrimary || (!promotionRequested && keepsPrimary) || candidate.equals(Optional.of(chosenId))) {
             if (!isDue("promote", nowMs)) {
                 return keepFenced(snapshot, nowMs);
             }
@@ -635,10 +638,17 @@
         return fencingCommands(snapshot, nowMs);
     }
 
-    /** Whether a commit was reported, or a member found, since the choice that shows that the chosen instance lacks commits. */
-    private boolean isOutdatedChoice(GroupSnapshot snapshot, String chosenId) {
+    /**
+     * Whether the chosen instance, for which no order was sent, has to be chosen anew: a reported commit or a replica's position shows that it lacks commits, or
+     * nothing has proven again for some time that it has all of them. A member that has registered since the choice is a copy that the choice did not count.
+     */
+    private boolean isOutdatedChoice(GroupSnapshot snapshot, String chosenId, Optional<String> candidate, long nowMs) {
+        commandsSentAtMs.putIfAbsent("choice", nowMs);
+        boolean timedOut = nowMs - commandsSentAtMs.get("choice") > PROMOTION_RESULT_TIMEOUT_MS;
         return fencing.lacksAcknowledged(chosenId, snapshot.commitReports().acknowledged())
-                || fencing.isBehindReplica(chosenId);
+                || fencing.isBehindReplica(chosenId)
+                || candidate.filter(id -> !id.equals(chosenId)).isPresent()
+                || (timedOut && candidate.isEmpty());
     }
 
     /** Whether the candidate is the primary itself, for which a promotion request changes nothing. */
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -173,6 +173,23 @@
         assertThat(effects).containsExactly(new RaiseToken(1));
     }
 
+    /** A database that registered between the choice and the order held 39 acknowledged commits that the chosen instance lacked. */
+    @Test
+    void chosenInstanceIsNotPromotedBeforeADatabaseThatRegisteredSinceHasResponded() {
+        raiseToken();
+        step(9_000);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(9_000))).isTrue();
+        failover.onLogCommitEnded(true);
+        chosenId = Optional.of("a");
+        members = List.of(PRIMARY, A, B, new MemberView("joined", false, false, 0, false, 0));
+        assertThat(step(9_000)).contains(new AskStatus("joined"));
+        failover.onStatus("joined", replica(3, 99, 0));
+
+        assertThat(step(9_000)).containsExactly(new RaiseToken(1));
+    }
+
     /** Commits in flight at a primary that is demoted in a planned replacement keep their results. */
     @Test
     void commitsOfAPrimaryThatControlDemotesAreAcknowledged() {
