A seal is published once its token is committed

Callers were refused all writes for up to 23 s although their primary worked: the seal was published with the request to raise the token. If that commit failed, or the leader was replaced before it, no later promotion had to have that token; the primary was kept under a lower one, which ends no seal of a higher token.

Now the seal is published once its token is in the log, so that every later leader finishes that promotion under a higher token, and an earlier seal stays until then. Reports are awaited for the token of the promotion in progress, so that a choice in the step that publishes the seal waits for them too.

Evidence: SyncGroupFailoverTest#sealIsPublishedOnceItsTokenIsCommitted (both cases) and the new check of WatchingProxiesTest#reportsArePendingUntilEveryProxyInTouchHasReported; the first is red on the code before, green now. SyncFailoverHistoriesTest was started and did not end within ten minutes on a scratch classpath: not run to its end.

--- a/control/src/main/java/org/hornbeamspread/control/routes/ReportedCommits.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ReportedCommits.java
@@ -53,11 +53,6 @@
                 .toList();
     }
 
-    /** The token of a service's seal; 0 if there is none. */
-    long sealToken(String service) {
-        return Optional.ofNullable(seals.get(service)).map(Seal::token).orElse(0L);
-    }
-
     /** Whether any seal is in force. */
     boolean hasSeals() {
         return !seals.isEmpty();
--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -273,7 +273,7 @@
                     primaryId.map(watchingProxies::stalledWriteMs).orElse(0L),
                     probe.isRefused(),
                     primaryId.filter(this::isUnreachableFromProxies).isPresent(),
-                    watchingProxies.commitReports(service));
+                    watchingProxies.commitReports(service, settled ? 0 : record.getTerm()));
         }
 
         private boolean isUnreachableFromProxies(String primaryId) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -116,9 +116,12 @@
         }
     }
 
-    /** What proxies have reported of a service's acknowledged commits. */
-    CommitReports commitReports(String service) {
-        long token = commits.sealToken(service);
+    /**
+     * What proxies have reported of a service's acknowledged commits.
+     *
+     * @param token the token of the promotion in progress, also before its seal is published; 0 for none
+     */
+    CommitReports commitReports(String service, long token) {
         boolean pending = token > 0
                 && recentWatchers().stream()
                         .anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
--- a/control/src/test/java/org/hornbeamspread/control/routes/ReportedCommitsTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/ReportedCommitsTest.java
@@ -83,8 +83,6 @@
         assertThat(commits.seal("ledger", Optional.empty())).isFalse();
         assertThat(commits.seal("ledger", Optional.of(seal))).isTrue();
         assertThat(commits.seal("ledger", Optional.of(seal))).isFalse();
-        assertThat(commits.sealToken("ledger")).isEqualTo(4);
-        assertThat(commits.sealToken("orders")).isEqualTo(0);
         assertThat(commits.seals())
                 .containsExactly(SealedService.newBuilder()
                         .setService("ledger")
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -272,18 +272,19 @@
     @Test
     void reportsArePendingUntilEveryProxyInTouchHasReported() {
         watch(0, 2);
-        assertThat(proxies.commitReports("ledger").pending()).isFalse();
+        assertThat(proxies.commitReports("ledger", 0).pending()).isFalse();
+        assertThat(proxies.commitReports("ledger", 4).pending()).isTrue();
         proxies.seal("ledger", Optional.of(new Seal(4, 2)));
-        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        assertThat(proxies.commitReports("ledger", 4).pending()).isTrue();
         watchSealed("p0", 4);
-        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        assertThat(proxies.commitReports("ledger", 4).pending()).isTrue();
         watchSealed("p1", 3);
-        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        assertThat(proxies.commitReports("ledger", 4).pending()).isTrue();
         assertThat(watchSealed("p1", 4)).isTrue();
 
-        assertThat(proxies.commitReports("ledger").pending()).isFalse();
-        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
-        assertThat(proxies.commitReports("orders")).isEqualTo(CommitReports.NONE);
+        assertThat(proxies.commitReports("ledger", 4).pending()).isFalse();
+        assertThat(proxies.commitReports("ledger", 4).acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+        assertThat(proxies.commitReports("orders", 0)).isEqualTo(CommitReports.NONE);
     }
 
     /** A new token asks for new reports: between the seals a proxy may have acknowledged. */
@@ -292,7 +293,7 @@
         watchSealed("p0", 4);
         proxies.seal("ledger", Optional.of(new Seal(5, 2)));
 
-        assertThat(proxies.commitReports("ledger").pending()).isTrue();
+        assertThat(proxies.commitReports("ledger", 5).pending()).isTrue();
     }
 
     /** A proxy that was killed or cut off would hold up each promotion. */
@@ -303,7 +304,7 @@
         proxies.seal("ledger", Optional.of(new Seal(4, 2)));
         advance(silentMs);
 
-        assertThat(proxies.commitReports("ledger").pending()).isEqualTo(pending);
+        assertThat(proxies.commitReports("ledger", 4).pending()).isEqualTo(pending);
     }
 
     /** A proxy of an earlier version reports nothing: its requests alone are no report. Only the bound of the choice ends the wait for it. */
@@ -316,9 +317,9 @@
             assertThat(proxies.watch(upToDateWatchRequest("old").build(), answers::add))
                     .isFalse();
             advance(100);
-            assertThat(proxies.commitReports("ledger").pending()).isTrue();
+            assertThat(proxies.commitReports("ledger", 4).pending()).isTrue();
         }
-        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+        assertThat(proxies.commitReports("ledger", 4).acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
     }
 
     /** What a proxy acknowledged before it was killed is acknowledged all the same. */
@@ -329,7 +330,7 @@
         proxies.answerExpiredWatches();
 
         assertThat(proxies.liveProxies()).isEqualTo(0);
-        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+        assertThat(proxies.commitReports("ledger", 0).acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
     }
 
     /** A report that could not be read kept its proxy from the update that it was due, and the reports behind it from being read. */
@@ -344,9 +345,9 @@
         proxies.watch(request.build(), answers::add);
 
         assertThat(lastUpdate().getConfiguration().getVersion()).isEqualTo(7);
-        assertThat(proxies.commitReports("ledger").acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
+        assertThat(proxies.commitReports("ledger", 0).acknowledged().certain()).isEqualTo(new LogPosition(2, 40));
         proxies.seal("orders", Optional.of(new Seal(9, 2)));
-        assertThat(proxies.commitReports("orders").pending()).isTrue();
+        assertThat(proxies.commitReports("orders", 9).pending()).isTrue();
     }
 
     @Test
@@ -357,7 +358,7 @@
         proxies.watch(watchRequest("p0").build(), answers::add);
 
         assertThat(lastUpdate().getSealedList()).isEmpty();
-        assertThat(proxies.commitReports("ledger").pending()).isFalse();
+        assertThat(proxies.commitReports("ledger", 0).pending()).isFalse();
     }
 
     /**
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -94,6 +94,9 @@
 
     private long sealedTerm;
 
+    /** The seal in force. Its token is committed, so that every later leader knows of it and ends it. */
+    private Optional<Seal> seal = Optional.empty();
+
     private boolean logCommitPending;
     private boolean tokenCommitPending;
     private boolean promotionRequested;
@@ -406,12 +409,13 @@
      * instead, after which it commits nothing more; callers then get the results of the commits in flight.
      */
     public Optional<Seal> seal() {
-        return sealActive ? Optional.of(new Seal(ownToken, sealedTerm)) : Optional.empty();
+        return seal;
     }
 
     private void updateSeal(GroupSnapshot snapshot, boolean settled) {
         if (settled) {
             sealActive = false;
+            seal = Optional.empty();
             return;
         }
         if (snapshot.token() != ownToken || snapshot.chosenId().isPresent()) {
@@ -421,6 +425,9 @@
                 isPrimaryReachable(snapshot) && fencing.elapsedMs() <= FencingState.LIVE_REPLACEMENT_TIMEOUT_MS;
         sealActive |= fencing.demotedId().isEmpty() && !demotionExpected && !settlesPrimary;
         sealedTerm = Math.max(sealedTerm, Math.max(provenTerm(snapshot), fencing.highestReportedTerm()));
+        if (sealActive) {
+            seal = Optional.of(new Seal(ownToken, sealedTerm));
+        }
     }
 
     private static long provenTerm(GroupSnapshot snapshot) {
@@ -500,6 +507,9 @@
         rejectedCandidate = Optional.empty();
         reachableAtTokenRaise = false;
         sealActive = earlierPromotionPending;
+        if (!sealActive) {
+            seal = Optional.empty();
+        }
         sealedTerm = provenTerm(snapshot);
         fencing.reset(unsettled);
         promotionResult = Optional.empty();
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -155,6 +155,40 @@
         assertThat(hasChoice(step(9_000))).isTrue();
     }
 
+    /**
+     * A seal under a token that was never committed ended nowhere: the primary was kept, its token was a lower one, and proxies refused all writes
+     * until the seal's timeout.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void sealIsPublishedOnceItsTokenIsCommitted(boolean committed) {
+        advance(1_001);
+        assertThat(step(1_001)).containsExactly(new RaiseToken(0));
+        assertThat(failover.seal()).isEmpty();
+        failover.onLogCommitEnded(committed);
+        token = committed ? 1 : 0;
+        concluded = !committed;
+        step(committed ? 1_001 : 0);
+
+        assertThat(failover.seal().map(Seal::token)).isEqualTo(committed ? Optional.of(1L) : Optional.empty());
+    }
+
+    /** Without a seal in between, a promotion that starts again under a later token lets proxies acknowledge. */
+    @Test
+    void sealLastsUntilThatOfTheNextTokenIsPublished() {
+        raiseToken();
+        step(1_100);
+        assertThat(failover.seal()).hasValue(new Seal(1, 0));
+        token = 2;
+        assertThat(step(1_200)).containsExactly(new RaiseToken(2));
+        assertThat(failover.seal()).hasValue(new Seal(1, 0));
+        failover.onLogCommitEnded(true);
+        token = 3;
+        step(1_300);
+
+        assertThat(failover.seal().map(Seal::token)).hasValue(3L);
+    }
+
     /** Between the choice and the order, a proxy reports a commit that the chosen instance lacks. */
     @Test
     void chosenInstanceThatLacksAReportedCommitIsNotPromoted() {
