Metrics: commits that a seal turned into IN_DOUBT or ABORTED

hornbeamspread_session_sealed_results_total{outcome}, checked in the cases of SessionEngineTest for a commit in flight and an unsent COMMIT.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/AutocommitStatement.java
@@ -215,6 +215,7 @@
     private void onSuccess(ConnectionLease granted, SqlResult result) {
         if (isWrite()) {
             if (!context.acknowledges(route, sentCommit, result)) {
+                context.onSealed(SqlError.IN_DOUBT);
                 complete(
                         SqlResult.failure(SqlError.IN_DOUBT, "", TransactionState.IDLE),
                         granted.instance().instanceId(),
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionContext.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionContext.java
@@ -8,6 +8,7 @@
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.route.Route;
+import org.hornbeamspread.core.sql.SqlError;
 import org.hornbeamspread.core.sql.SqlResult;
 
 /** Services and state shared by the sessions of an engine. Confined to the engine's thread. */
@@ -93,6 +94,11 @@
                 .orElse(true);
     }
 
+    /** Counts a commit that a seal turned into an error. */
+    void onSealed(SqlError error) {
+        metrics.onSealed(error);
+    }
+
     /** Counts a refusal. */
     void onRefused(RefusalReason reason) {
         metrics.onRefused(reason);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionMetrics.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.hornbeamspread.core.route.Route;
+import org.hornbeamspread.core.sql.SqlError;
 import org.hornbeamspread.core.sql.SqlResult;
 
 /** Counters of statements by rank and outcome, and their durations by rank. */
@@ -17,6 +18,7 @@
     private final Counter responses;
     private final Counter refusals;
     private final Counter retries;
+    private final Counter sealedResults;
     private final Histogram durations;
     private long served;
 
@@ -36,6 +38,11 @@
                 .help("Statements retried, by reason")
                 .labelNames("reason")
                 .register(registry);
+        sealedResults = Counter.builder()
+                .name("hornbeamspread_session_sealed_results_total")
+                .help("Commits that were not acknowledged since their primary may be about to be replaced, by outcome")
+                .labelNames("outcome")
+                .register(registry);
         durations = Histogram.builder()
                 .name("hornbeamspread_session_statement_seconds")
                 .help("Time from the arrival of a statement to its response, by rank")
@@ -57,6 +64,11 @@
         refusals.labelValues(reason.name()).inc();
     }
 
+    /** Counts a commit that a seal turned into an error: IN_DOUBT, or ABORTED if it was not sent. */
+    void onSealed(SqlError error) {
+        sealedResults.labelValues(error.name()).inc();
+    }
+
     void onRetry(RetryReason reason) {
         retries.labelValues(reason.name()).inc();
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -140,6 +140,7 @@
         private void abortSealed(ConnectionLease heldLease) {
             heldLease.discard();
             lease = Optional.empty();
+            context.onSealed(SqlError.ABORTED);
             fail(SqlError.ABORTED, heldLease.instance().instanceId(), SessionContext.SEALED);
         }
 
@@ -302,6 +303,7 @@
             }
             if (hasWrites) {
                 if (!context.acknowledges(route, sentCommit, result)) {
+                    context.onSealed(SqlError.IN_DOUBT);
                     fail(SqlError.IN_DOUBT, instanceId, SessionContext.SEALED);
                     return;
                 }
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -1,6 +1,7 @@
 package org.hornbeamspread.proxy.session;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -36,6 +37,7 @@
     final FakeDatabase nearReplica = new FakeDatabase("a", 2, executor);
     final FakeDatabase farReplica = new FakeDatabase("b", 3, executor);
     final List<FakeDatabase> databases = List.of(primary, nearReplica, farReplica);
+    final PrometheusRegistry registry = new PrometheusRegistry();
     final SessionEngine engine;
     private SystemView view = SystemView.NONE;
 
@@ -56,7 +58,7 @@
                 wallClock,
                 executor,
                 EventLog.NONE,
-                new PrometheusRegistry());
+                registry);
         loadConfiguration(1, 28, 1);
     }
 
@@ -103,6 +105,15 @@
                 view.configuration(), view.instances(), Map.of(FakeDatabase.SERVICE, database.id), view.proxyCount()));
     }
 
+    /** How many commits a seal has turned into an error. */
+    double sealedResults(SqlError error) {
+        return registry.scrape(name -> name.equals("hornbeamspread_session_sealed_results")).stream()
+                .flatMap(snapshot -> snapshot.getDataPoints().stream())
+                .filter(point -> error.name().equals(point.getLabels().get("outcome")))
+                .mapToDouble(point -> ((CounterSnapshot.CounterDataPointSnapshot) point).getValue())
+                .sum();
+    }
+
     /** Delivers a seal: commits up to a term of the log are not acknowledged. */
     void seal(long token, long logTerm) {
         engine.onSeals(Map.of(FakeDatabase.SERVICE, new Seal(token, logTerm)), Map.of());
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -600,6 +600,7 @@
         harness.run(100);
 
         assertThat(client.lastReply().error()).hasValue(SqlError.IN_DOUBT);
+        assertThat(harness.sealedResults(SqlError.IN_DOUBT)).isEqualTo(1);
         assertThat(client.lastReply().state()).isEqualTo(TransactionState.IDLE);
         assertThat(harness.engine
                         .acknowledgedCommits()
@@ -619,6 +620,7 @@
         harness.run(100);
 
         assertThat(client.lastReply().error()).hasValue(SqlError.ABORTED);
+        assertThat(harness.sealedResults(SqlError.ABORTED)).isEqualTo(1);
         assertThat(client.lastReply().state()).isEqualTo(TransactionState.IDLE);
         assertThat(FakeDatabase.requestIds(harness.primary.executedStatements)).containsExactly("s1");
         assertThat(harness.primary.openConnections).isEmpty();
