promotion_withheld: a promotion that waits for a commit which only proxies know shows in the logs

On-call could not tell a promotion that waits for an acknowledged commit from one that waits for replicas to be fenced: both log promotion_evidence once a second.

SyncGroupFailoverTest#promotionIsWithheldWhileEveryReplicaLacksAnAcknowledgedCommit covers the decision; the event itself and the counter have no test of their own.

--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteMetrics.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteMetrics.java
@@ -13,6 +13,7 @@
     private static final double MILLIS_PER_SECOND = 1000;
 
     private final Counter steps;
+    private final Counter withheldPromotions;
     private final Counter refusals;
     private final Counter commits;
     private final Counter announcements;
@@ -26,6 +27,10 @@
                 .help("Steps of promotions, by kind")
                 .labelNames("step")
                 .register(registry);
+        withheldPromotions = Counter.builder()
+                .name("hornbeamspread_route_promotions_withheld_total")
+                .help("Promotions that waited since every replica that responded lacked an acknowledged commit")
+                .register(registry);
         refusals = Counter.builder()
                 .name("hornbeamspread_route_refusals_total")
                 .help("Calls refused, by failure type")
@@ -62,6 +67,10 @@
         outages.observe(outageMs / MILLIS_PER_SECOND);
     }
 
+    void onPromotionWithheld() {
+        withheldPromotions.inc();
+    }
+
     void onCommit(String kind) {
         commits.labelValues(kind).inc();
     }
--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.hornbeamspread.control.ReplicatedLog;
+import org.hornbeamspread.core.failover.AcknowledgedCommits;
 import org.hornbeamspread.core.failover.CommitReports;
 import org.hornbeamspread.core.failover.GroupSnapshot;
 import org.hornbeamspread.core.failover.MemberView;
@@ -24,6 +25,7 @@
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.LostCopy;
@@ -154,6 +156,11 @@
         private List<LostCopy> lostCopies = List.of();
 
         private long evidenceLoggedAtMs;
+        private long withheldLoggedAtMs = Long.MIN_VALUE / 2;
+
+        /** The token of the latest promotion that was withheld; 0 for none. */
+        private long withheldToken;
+
         private long concludedAtMs = Long.MIN_VALUE / 2;
         private boolean settled = true;
         private boolean discarded;
@@ -215,6 +222,32 @@
             if (!settled && clock.millis() - evidenceLoggedAtMs > EVIDENCE_LOG_INTERVAL_MS) {
                 logEvidence(snapshot);
             }
+            failover.withheldPosition(snapshot).ifPresent(latest -> onWithheld(snapshot, latest));
+        }
+
+        /** Counts and logs a promotion that waits for an instance with a commit that proxies have acknowledged. */
+        private void onWithheld(GroupSnapshot snapshot, LogPosition bestPosition) {
+            if (withheldToken != snapshot.token()) {
+                withheldToken = snapshot.token();
+                metrics.onPromotionWithheld();
+            }
+            if (clock.millis() - withheldLoggedAtMs <= EVIDENCE_LOG_INTERVAL_MS) {
+                return;
+            }
+            withheldLoggedAtMs = clock.millis();
+            AcknowledgedCommits acknowledged = snapshot.commitReports().acknowledged();
+            events.record(
+                    "promotion_withheld",
+                    "service",
+                    service,
+                    "token",
+                    snapshot.token(),
+                    "best_position",
+                    bestPosition,
+                    "acknowledged_certain",
+                    acknowledged.certain(),
+                    "acknowledged_possible",
+                    acknowledged.possible());
         }
 
         /** Logs the evidence on which an instance is chosen, or that shows why none can be chosen yet. */
--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -223,6 +223,14 @@
         return mayLack || !received.covers(acknowledged.certain());
     }
 
+    /** The latest position of the replicas that have responded under the current token; empty if none has. */
+    Optional<LogPosition> latestReplicaPosition() {
+        return statuses.values().stream()
+                .filter(status -> !status.primary())
+                .map(ReplicaStatus::received)
+                .max(Comparator.naturalOrder());
+    }
+
     /** Whether a replica that responded under the current token has a later position than an instance. */
     boolean isBehindReplica(String id) {
         LogPosition received = receivedPositionOf(id);
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -412,6 +412,20 @@
         return seal;
     }
 
+    /**
+     * The latest position of the replicas, if all of them lack a commit that proxies have acknowledged, so that none is promoted; empty
+     * otherwise.
+     */
+    public Optional<LogPosition> withheldPosition(GroupSnapshot snapshot) {
+        boolean choosing = snapshot.token() == ownToken
+                && !snapshot.concluded()
+                && snapshot.chosenId().isEmpty();
+        return fencing.latestReplicaPosition()
+                .filter(latest -> choosing
+                        && !latest.covers(
+                                snapshot.commitReports().acknowledged().certain()));
+    }
+
     private void updateSeal(GroupSnapshot snapshot, boolean settled) {
         if (settled) {
             sealActive = false;
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -189,6 +189,23 @@
         assertThat(failover.seal().map(Seal::token)).hasValue(3L);
     }
 
+    /** The logs didn't tell a promotion that waits for a commit which only proxies know from one that waits for replicas. */
+    @ParameterizedTest
+    @CsvSource({"60, false", "61, true"})
+    void promotionIsWithheldWhileEveryReplicaLacksAnAcknowledgedCommit(long acknowledgedEntries, boolean withheld) {
+        commitReports = new CommitReports(acknowledged(acknowledgedEntries, 70), false);
+        raiseToken();
+        step(1_100);
+        assertThat(failover.withheldPosition(snapshot(1_100, 0, false, false))).isEmpty();
+        failover.onStatus("a", replica(3, 50, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(failover.withheldPosition(snapshot(1_100, 0, false, false)))
+                .isEqualTo(withheld ? Optional.of(new LogPosition(3, 60)) : Optional.empty());
+        chosenId = Optional.of("b");
+        assertThat(failover.withheldPosition(snapshot(1_100, 0, false, false))).isEmpty();
+    }
+
     /** Between the choice and the order, a proxy reports a commit that the chosen instance lacks. */
     @Test
     void chosenInstanceThatLacksAReportedCommitIsNotPromoted() {
