--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -25,6 +25,7 @@
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
+import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.LostCopy;
@@ -156,6 +157,11 @@
         private List<LostCopy> lostCopies = List.of();
 
         private long evidenceLoggedAtMs;
+        private long withheldLoggedAtMs = Long.MIN_VALUE / 2;
+
+        /** The token of the latest promotion that was withheld; 0 for none. */
+        private long withheldToken;
+
         private long concludedAtMs = Long.MIN_VALUE / 2;
         private boolean settled = true;
 
@@ -221,6 +227,32 @@
             if (!settled && clock.millis() - evidenceLoggedAtMs > EVIDENCE_LOG_INTERVAL_MS) {
                 logEvidence(snapshot);
             }
+            failover.withheldPosition(snapshot).ifPresent(latest -> onWithheld(snapshot, latest));
+        }
+
+        /** Counts and logs a promotion that waits for an instance with a commit that proxies have acknowledged. */
+        private void onWithheld(GroupSnapshot snapshot, LogPosition bestPosition) {
+            if (withheldToken != snapshot.token()) {
+                withheldToken = snapshot.token();
+                metrics.onPromotionWithheld();
+            }
+            if (clock.millis() - withheldLoggedAtMs <= EVIDENCE_LOG_INTERVAL_MS) {
+                return;
+            }
+            withheldLoggedAtMs = clock.millis();
+            AcknowledgedCommits acknowledged = snapshot.commitReports().acknowledged();
+            events.record(
+                    "promotion_withheld",
+                    "service",
+                    service,
+                    "token",
+                    snapshot.token(),
+                    "best_position",
+                    bestPosition,
+                    "acknowledged_certain",
+                    acknowledged.certain(),
+                    "acknowledged_possible",
+                    acknowledged.possible());
         }
 
         /** Logs the evidence on which an instance is chosen, or that shows why none can be chosen yet. */
@@ -286,7 +318,7 @@
 
         /** The reports of proxies to this leader, and those to the leaders before it that began the promotion in progress. */
         private CommitReports commitReports(GroupTerm record) {
-            CommitReports reports = watchingProxies.commitReports(service);
+            CommitReports reports = watchingProxies.commitReports(service, settled ? 0 : record.getTerm());
             AcknowledgedCommits committed = new AcknowledgedCommits(
                     Envelopes.position(record.getAcknowledgedCertain()),
                     Envelopes.position(record.getAcknowledgedPossible()));
--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -118,13 +118,16 @@
         }
     }
 
-    /** What proxies have reported of a service's acknowledged commits. */
-    CommitReports commitReports(String service) {
-        long token = commits.sealToken(service);
+    /**
+     * What proxies have reported of a service's acknowledged commits.
+     *
+     * @param token the token of the promotion in progress, also before its seal is published; 0 for none
+     */
+    CommitReports commitReports(String service, long token) {
         boolean newLeader = clock.millis() - leaderSinceMs <= PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS;
         boolean unsealed =
                 recentWatchers().stream().anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
-        return new CommitReports(commits.acknowledged(service), newLeader || unsealed);
+        return new CommitReports(commits.acknowledged(service), token > 0 && (newLeader || unsealed));
     }
 
     private List<Watcher> recentWatchers() {
