A primary that may have restarted is not demoted before its announcement

Cause: the primary came back, answered as primary and was demoted before control had its announcement. The announcement has a later birth, so that the log counts as unproven: the demotion proves nothing, two lost copies are on record, and nobody can prove to lead. A primary whose log is known to be unproven is not demoted for that reason already.

Now a primary whose address has refused a connection since its last announcement is demoted only once it has announced itself. That withholds a command and allows no choice that was not allowed. While a promotion may take effect (a choice is on record, or an earlier request is pending), the primary is demoted as before, since a replica that joins then would acknowledge commits that the candidate lacks.

--- a/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/ReplicaCoverage.java
@@ -38,6 +38,9 @@
     /** The refusals of connections to each member, since its last response. */
     private final Map<String, Refusals> refusals = new HashMap<>();
 
+    /** The latest refusal of a connection to each member, also after a later response. */
+    private final Map<String, Long> latestRefusalAtMs = new HashMap<>();
+
     /** The start time of each member. */
     private final Map<String, Long> bornMsById = new HashMap<>();
 
@@ -58,6 +61,7 @@
         snapshot.lostCopies().stream().filter(LostCopy::processEnded).forEach(this::onProcessEnded);
         bornMsById.clear();
         snapshot.members().forEach(member -> bornMsById.put(member.instanceId(), member.bornMs()));
+        latestRefusalAtMs.keySet().retainAll(bornMsById.keySet());
         snapshot.members().stream().filter(this::mayHaveRestarted).forEach(member -> onResponse(member.instanceId()));
         snapshot.primaryProof()
                 .ifPresent(proof -> snapshot.observedPrimaryId().ifPresent(id -> onProof(id, proof.requestedAtMs())));
@@ -98,6 +102,16 @@
         Refusals earlier = refusals.get(instanceId);
         long sinceMs = earlier == null ? nowMs : earlier.sinceMs();
         refusals.put(instanceId, new Refusals(bornMsById.getOrDefault(instanceId, 0L), sinceMs, nowMs));
+        latestRefusalAtMs.put(instanceId, nowMs);
+    }
+
+    /**
+     * Whether a member has not announced itself since its address refused a connection: if the member responds, its process may have
+     * started again, with or without its log.
+     */
+    boolean awaitsAnnouncement(MemberView member) {
+        Long refusedAtMs = latestRefusalAtMs.get(member.instanceId());
+        return refusedAtMs != null && clock.millis() - member.silentMs() <= refusedAtMs;
     }
 
     void onResponse(String instanceId) {
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -598,7 +598,8 @@
 
     /**
      * Demotes a primary, unless its log is unproven or no candidate responds. The demotion of a primary with an unproven log
-     * would prove nothing, and afterwards no instance could provide a proof that it leads. While an earlier promotion may take effect,
+     * would prove nothing, and afterwards no instance could provide a proof that it leads. The same applies to one that may have
+     * restarted, until its announcement shows whether it has, unless a promotion may take effect meanwhile. While an earlier promotion may take effect,
      * a primary that responds is first given the time to prove that it leads: its promotion under the new token makes the platform
      * reject the earlier request, while a demotion leaves the group without a primary until the earlier request is carried out.
      * A chosen candidate that leads is not demoted; its announcement is on its way.
@@ -606,7 +607,10 @@
     private Optional<SyncFailoverEffect> demote(GroupSnapshot snapshot, MemberView primary, long term) {
         boolean mayBeConfirmed = earlierPromotionPending && fencing.elapsedMs() <= timings.initialDetectionMs();
         boolean isChosen = snapshot.chosenId().equals(Optional.of(primary.instanceId()));
-        if (hasRespondingCandidate(snapshot) && !primary.logUnproven() && !mayBeConfirmed && !isChosen) {
+        boolean promotionPossible =
+                earlierPromotionPending || snapshot.chosenId().isPresent();
+        boolean logUnproven = primary.logUnproven() || (!promotionPossible && coverage.awaitsAnnouncement(primary));
+        if (hasRespondingCandidate(snapshot) && !logUnproven && !mayBeConfirmed && !isChosen) {
             return Optional.of(new Demote(primary.instanceId(), term));
         }
         commandsSentAtMs.remove(primary.instanceId());
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -977,6 +977,26 @@
         assertThat(step(0)).containsExactly(new Choose(1, "p"), new Conclude(1, "p"));
     }
 
+    /**
+     * The primary came back after a crash and was demoted before control had its announcement. Its log then counted as unproven, and with
+     * the log of a departed replica two were lost: no instance could be promoted any more (soak, seeds 9201 and 9202).
+     */
+    @ParameterizedTest
+    @CsvSource({"150, false", "50, true"})
+    void restartedPrimaryIsNotDemotedBeforeItsAnnouncement(long silentMs, boolean expectedDemotion) {
+        raiseToken();
+        lostCopies = List.of(new LostCopy("s", new Address("10.0.0.9", 1), "c", 1, false));
+        step(1_100);
+        failover.onConnectionRefused("p");
+        advance(100);
+        members = List.of(new MemberView("p", false, true, silentMs, false, 0), A, B);
+        failover.onStatus("p", new ReplicaStatus(true, 1, new LogPosition(1, 95), 0));
+        failover.onStatus("a", replica(1, 95, 2));
+        failover.onStatus("b", replica(1, 95, 2));
+
+        assertThat(step(1_200).contains(new Demote("p", 3))).isEqualTo(expectedDemotion);
+    }
+
     /** A deposed leader used its successor's token as its own (soak, seed 4015). */
     @Test
     void tokenWhoseCommitFailedIsNotUsed() {
