--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedDatabase.java
@@ -27,6 +27,12 @@
     /** Whether control can reach the database. */
     boolean reachable = true;
 
+    /** Whether connections of control are reset, though the process runs and receives. */
+    boolean refuses;
+
+    /** Until then the database receives a part of the log and acknowledges nothing. */
+    long catchingUpUntilMs;
+
     /** The term that the database leads, or the term of the primary that it last received from. */
     long term;
 
@@ -72,6 +78,7 @@
         next.entries = entries;
         next.primary = primary;
         next.reachable = reachable;
+        next.refuses = refuses;
         next.announcedPrimary = !primary;
         next.announced = true;
         return next;
