Entries above the lower bound are waited for as long as a copy may be hidden

Now a candidate between the bounds is chosen 2.2 s after the token: a first announcement waits up to 1 s at each of two silent control members. While a member that refuses connections is left out of the count, there is no limit: the group waits for it, for the primary, or for an operator, as it does for a copy that nobody covers.

--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -22,10 +22,10 @@
     static final long LIVE_REPLACEMENT_TIMEOUT_MS = 1_500;
 
     /**
-     * A database that joined before the primary was lost is registered at most this long after the token was raised: its first
-     * announcement waits up to 1 s at a control member that does not respond, and the loss is detected half a second later at the earliest.
+     * A database that joined before the proxies were sealed is registered at most this long after the token was raised: its first
+     * announcement waits up to 1 s at each control member that does not respond, and two may not.
      */
-    static final long REGISTRATION_TIMEOUT_MS = 600;
+    static final long REGISTRATION_TIMEOUT_MS = 2_200;
 
     private final Clock clock;
     private final SyncFailoverTimings timings;
@@ -201,7 +201,7 @@
         if (mostAdvanced.isEmpty() || !(demotedResponding || noneLeads || allButOneFenced)) {
             return Optional.empty();
         }
-        if (lacksAcknowledged(mostAdvanced.get().instanceId(), acknowledged)) {
+        if (lacksAcknowledged(mostAdvanced.get().instanceId(), acknowledged, copies < members.size())) {
             return Optional.empty();
         }
         long waitedMs = elapsedMs();
@@ -214,12 +214,15 @@
     }
 
     /**
-     * Whether an instance lacks an acknowledged commit, or may lack one that a database holds which joined before the primary was lost and
-     * is about to be registered.
+     * Whether an instance lacks an acknowledged commit, or may lack one: a database holds it that is about to be registered, or that was left
+     * out of the count.
+     *
+     * @param copiesExempt whether a member was left out of the count since it refuses connections
      */
-    boolean lacksAcknowledged(String id, AcknowledgedCommits acknowledged) {
+    boolean lacksAcknowledged(String id, AcknowledgedCommits acknowledged, boolean copiesExempt) {
         LogPosition received = receivedPositionOf(id);
-        boolean mayLack = !received.covers(acknowledged.possible()) && elapsedMs() <= REGISTRATION_TIMEOUT_MS;
+        boolean copyHidden = copiesExempt || elapsedMs() <= REGISTRATION_TIMEOUT_MS;
+        boolean mayLack = copyHidden && !received.covers(acknowledged.possible());
         return mayLack || !received.covers(acknowledged.certain());
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -663,7 +663,10 @@
     private boolean isOutdatedChoice(GroupSnapshot snapshot, String chosenId, Optional<String> candidate, long nowMs) {
         commandsSentAtMs.putIfAbsent("choice", nowMs);
         boolean timedOut = nowMs - commandsSentAtMs.get("choice") > PROMOTION_RESULT_TIMEOUT_MS;
-        return fencing.lacksAcknowledged(chosenId, snapshot.commitReports().acknowledged())
+        return fencing.lacksAcknowledged(
+                        chosenId,
+                        snapshot.commitReports().acknowledged(),
+                        copyCount(snapshot) < snapshot.members().size())
                 || fencing.isBehindReplica(chosenId)
                 || candidate.filter(id -> !id.equals(chosenId)).isPresent()
                 || (timedOut && candidate.isEmpty());
