--- a/core/src/main/java/org/hornbeamspread/core/failover/CommitTracker.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/CommitTracker.java
@@ -82,7 +82,7 @@
         sealConfirmedAtMs = clock.millis();
         long knownTerm = seal.filter(earlier -> earlier.token() == update.token())
                 .map(Seal::logTerm)
-                .orElse(observed.term());
+                .orElseGet(() -> observed.term());
         seal = Optional.of(new Seal(update.token(), Math.max(knownTerm, update.logTerm())));
     }
 
