A primary that was demoted and promoted again is replaced, and proxies count draining from its announcement

SyncGroupFailover.primary() left out the demoted instance also after that instance itself was promoted under the same token, so that a draining primary was never replaced. StatementRouter counted the time of a draining primary from the proxy's own first view, so that a proxy that starts or returns late used it too long.

A demoted instance counts as primary again once its own promotion is concluded and it was observed to lead since. Each control member keeps the time at which it applied that an incarnation is draining, and SystemUpdate.draining carries the ages; proxies count from the earliest time they have.

Red with the changes switched off, green now: SyncGroupFailoverTest.primaryThatWasDemotedAndPromotedAgainIsReplaced (1 of 2 cases), WatchingProxiesTest.ageOfADrainingAnnouncementIsSentToProxiesThatJoinLater, SystemWatchTest.timeOfADrainingAnnouncementIsThatOfControl, SessionEngineTest.aDrainingPrimaryServesUntilItsTimeSinceTheAnnouncementIsOver (1 of 4 cases). Green: the rest of SyncGroupFailoverTest, WatchingProxiesTest, SystemWatchTest and SessionEngineTest.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -64,6 +64,7 @@
 
     private final ClockJumpDetector clockJumpDetector;
     private final ReportedCommits commits = new ReportedCommits();
+    private final DrainingInstances draining;
     private final EventLog events;
     private long clockEpoch;
     private List<RegisteredInstance> visibleInstances = List.of();
@@ -73,6 +74,7 @@
         this.clock = clock;
         this.events = events;
         this.clockJumpDetector = clockJumpDetector;
+        this.draining = new DrainingInstances(clock);
     }
 
     /**
@@ -190,6 +192,7 @@
         state = newState;
         visibleInstances = List.copyOf(newVisibleInstances);
         controlMembers = List.copyOf(members);
+        draining.update(newState.getInstancesList());
         List<Endpoint> peers = members.stream()
                 .map(ControlMember::getPeer)
                 .filter(peer -> !peer.getHost().isEmpty())
@@ -299,6 +302,9 @@
         int heldMs = (int) (clock.millis() - watcher.receivedAtMs);
         update.setLeaderTerm(leaderTerm).setProxies(watcher.sentProxyCount).setHeldMs(heldMs);
         addPositions(update);
+        if (update.getChanged()) {
+            update.addAllDraining(draining.toWire());
+        }
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
             update.setConfiguration(state.getRoutes().toBuilder().clearSource());
         }
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -10,6 +10,7 @@
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.protocol.schema.ControlState;
+import org.hornbeamspread.protocol.schema.DrainingInstance;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.PrimaryObservation;
@@ -236,6 +237,35 @@
         assertThat(proxies.stalledWriteMs("p")).isEqualTo(0);
     }
 
+    /** A proxy that started late counted from its own start, and sent to a draining primary past its limit (review case 15). */
+    @Test
+    void ageOfADrainingAnnouncementIsSentToProxiesThatJoinLater() {
+        RegisteredInstance draining = RegisteredInstance.newBuilder()
+                .setInstanceId("b")
+                .setBornMs(5)
+                .setDraining(true)
+                .build();
+        ControlState state =
+                STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build();
+        proxies.publish(state, List.of(draining), List.of());
+        advance(3_000);
+        proxies.onLeadershipGained(4);
+        proxies.publish(state, List.of(draining), List.of());
+        advance(1_000);
+        proxies.watch(watchRequest("late").build(), answers::add);
+        assertThat(lastUpdate().getDrainingList())
+                .containsExactly(DrainingInstance.newBuilder()
+                        .setInstanceId("b")
+                        .setAgeMs(4_000)
+                        .build());
+        RegisteredInstance restarted = draining.toBuilder().setBornMs(6).build();
+        proxies.publish(
+                STATE_WITH_VERSION_7.toBuilder().addInstances(restarted).build(), List.of(restarted), List.of());
+        proxies.watch(watchRequest("later").build(), answers::add);
+
+        assertThat(lastUpdate().getDraining(0).getAgeMs()).isEqualTo(0);
+    }
+
     private static WatchSystem.Builder watchRequest(String proxyId) {
         return WatchSystem.newBuilder().setProxyId(proxyId);
     }
--- a/core/src/main/java/org/hornbeamspread/core/failover/PromotionTakeover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/PromotionTakeover.java
@@ -86,6 +86,14 @@
         return !leadObserved && mayTakeEffect() && snapshot.promotedMember().isPresent();
     }
 
+    /** Whether an instance was observed to lead since it was promoted under the latest token, so that a demotion before no longer holds. */
+    boolean hasTakenOver(GroupSnapshot snapshot, String instanceId) {
+        return leadObserved
+                && snapshot.concluded()
+                && concludedToken == snapshot.token()
+                && snapshot.chosenId().equals(Optional.of(instanceId));
+    }
+
     /** Whether an instance has responded as the primary to a status request, or has proven that it leads since the promotion was accepted. */
     boolean isLeadObserved(GroupSnapshot snapshot, MemberView member) {
         boolean proven = snapshot.observedPrimaryId().equals(Optional.of(member.instanceId()))
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -675,12 +675,13 @@
     }
 
     /**
-     * The member that reports itself as primary and was not demoted. Of several, the one chosen last, or proven last, or else the one with
+     * The member that reports itself as primary and was not demoted, or was promoted again since. Of several, the one chosen last, or proven last, or else the one with
      * the latest announcement: the others may be announced by another writer.
      */
     private Optional<MemberView> primary(GroupSnapshot snapshot) {
         return snapshot.members().stream()
-                .filter(member -> !fencing.demotedId().equals(Optional.of(member.instanceId())))
+                .filter(member -> !fencing.demotedId().equals(Optional.of(member.instanceId()))
+                        || takeover.hasTakenOver(snapshot, member.instanceId()))
                 .filter(MemberView::primary)
                 .min(Comparator.comparing(
                                 (MemberView member) -> !snapshot.chosenId().equals(Optional.of(member.instanceId())))
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -308,6 +308,41 @@
         assertThat(hasChoice(step(9_000))).isFalse();
     }
 
+    /** A draining primary that was demoted and promoted again led until it ended, and nothing replaced it (review case 15). */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void primaryThatWasDemotedAndPromotedAgainIsReplaced(boolean draining) {
+        members = List.of(new MemberView("p", draining, true, 0, false, 0), A, B);
+        assertThat(failover.step(snapshot(0, 0, false, !draining))).containsExactly(new RaiseToken(0));
+        failover.onLogCommitEnded(true);
+        token = 1;
+        concluded = false;
+        step(0);
+        failover.onDemoted("p", replica(2, 237, 0));
+        advance(1_600);
+        failover.onStatus("p", replica(2, 237, 0));
+        failover.onStatus("a", replica(2, 200, 3));
+        failover.onStatus("b", replica(2, 200, 3));
+        assertThat(step(1_600)).containsExactly(new Choose(1, "p"));
+        chosenId = Optional.of("p");
+        failover.onLogCommitEnded(true);
+        assertThat(step(1_600)).containsExactly(new Promote(1, "p"));
+        failover.onPromotionResult(1, true);
+        assertThat(step(1_600)).containsExactly(new Conclude(1, "p"));
+        failover.onLogCommitEnded(true);
+        concluded = true;
+        advance(200);
+        failover.onStatus("p", new ReplicaStatus(true, 3, new LogPosition(3, 237), 0));
+        List<SyncFailoverEffect> effects = new ArrayList<>();
+        for (int i = 0; i < 11; i++) {
+            effects.addAll(failover.step(snapshot(0, 0, false, !draining)));
+            assertThat(effects).doesNotContain(new RaiseToken(1));
+            advance(280);
+        }
+
+        assertThat(failover.step(snapshot(0, 0, false, !draining))).containsExactly(new RaiseToken(1));
+    }
+
     /** In random histories, a repeated promotion request took effect after the promoted instance had been demoted. */
     @Test
     void drainingPrimaryIsReplacedOnlyAfterThePromotionTimeout() {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
@@ -135,6 +135,7 @@
         notPrimaryUntilMs.clear();
         Map<String, DatabaseInstance> currentInstances = new HashMap<>();
         next.instances().forEach(instance -> currentInstances.put(instance.instanceId(), instance));
+        next.drainingSinceMs().forEach((id, sinceMs) -> drainingSinceMs.merge(id, sinceMs, Math::min));
         drainingSinceMs.keySet().removeIf(id -> !currentInstances.containsKey(id));
         for (InstanceConnectionPool pool : List.copyOf(pools.values())) {
             DatabaseInstance current = currentInstances.get(pool.instance().instanceId());
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemView.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemView.java
@@ -16,12 +16,14 @@
  * @param instances the instances that announced themselves
  * @param promotedIds the instance that control promoted last, by service
  * @param proxyCount number of proxies that share the connections
+ * @param drainingSinceMs when draining instances announced that, as far as control has sent it
  */
 public record SystemView(
         RouteConfiguration configuration,
         List<DatabaseInstance> instances,
         Map<String, String> promotedIds,
         int proxyCount,
+        Map<String, Long> drainingSinceMs,
         Map<String, Route> routesByDatabase) {
     /** The view of a proxy that has not received any update from control yet. */
     public static final SystemView NONE = of(RouteConfiguration.NONE, List.of(), Map.of(), 1);
@@ -32,9 +34,25 @@
             List<DatabaseInstance> instances,
             Map<String, String> promotedIds,
             int proxyCount) {
+        return of(configuration, instances, promotedIds, proxyCount, Map.of());
+    }
+
+    /** Creates a view with the times since which instances are draining. */
+    public static SystemView of(
+            RouteConfiguration configuration,
+            List<DatabaseInstance> instances,
+            Map<String, String> promotedIds,
+            int proxyCount,
+            Map<String, Long> drainingSinceMs) {
         Map<String, Route> routes = new HashMap<>();
         configuration.routes().forEach(route -> routes.put(route.database(), route));
-        return new SystemView(configuration, List.copyOf(instances), Map.copyOf(promotedIds), proxyCount, routes);
+        return new SystemView(
+                configuration,
+                List.copyOf(instances),
+                Map.copyOf(promotedIds),
+                proxyCount,
+                Map.copyOf(drainingSinceMs),
+                routes);
     }
 
     /** Whether a configuration was received. */
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -247,6 +247,8 @@
         List<LogPosition> positions = update.getPositionsList().stream()
                 .map(primaryPosition -> Envelopes.position(primaryPosition.getPosition()))
                 .toList();
+        // Control sent the update at this time or later: the time on the network is not known.
+        long sentAtMs = Math.min(requestedAtMs + update.getHeldMs(), clock.millis());
         engine.setControlReachable(true);
         if (!controlReachable) {
             controlReachable = true;
@@ -275,13 +277,11 @@
             controlPeers = update.getControlPeersList().stream()
                     .filter(AddressTranslator::isConnectable)
                     .toList();
-            onViewChanged(update, proxyCount);
+            onViewChanged(update, proxyCount, sentAtMs);
         } else if (newConfiguration || proxyCount != engine.view().proxyCount()) {
             SystemView view = engine.view();
             engine.onView(SystemView.of(configuration, view.instances(), view.promotedIds(), proxyCount));
         }
-        // Control sent the update at this time or later: the time on the network is not known.
-        long sentAtMs = Math.min(requestedAtMs + update.getHeldMs(), clock.millis());
         for (int i = 0; i < positions.size(); i++) {
             PrimaryPosition primaryPosition = update.getPositions(i);
             engine.onSharedPosition(
@@ -292,7 +292,7 @@
         }
     }
 
-    private void onViewChanged(SystemUpdate update, int proxyCount) {
+    private void onViewChanged(SystemUpdate update, int proxyCount, long sentAtMs) {
         List<DatabaseInstance> received = RouteMessages.usableInstances(update.getInstancesList());
         if (!update.getDelta()) {
             instancesById.clear();
@@ -316,7 +316,10 @@
                 instances.stream().filter(DatabaseInstance::draining).count(),
                 "proxies",
                 proxyCount);
-        engine.onView(SystemView.of(configuration, instances, promoted, proxyCount));
+        Map<String, Long> drainingSinceMs = new TreeMap<>();
+        update.getDrainingList()
+                .forEach(draining -> drainingSinceMs.put(draining.getInstanceId(), sentAtMs - draining.getAgeMs()));
+        engine.onView(SystemView.of(configuration, instances, promoted, proxyCount, drainingSinceMs));
         Map<String, Seal> seals = new TreeMap<>();
         update.getSealedList()
                 .forEach(service ->
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -102,6 +102,31 @@
                 view.configuration(), view.instances(), Map.of(FakeDatabase.SERVICE, database.id), view.proxyCount()));
     }
 
+    /**
+     * Delivers a view in which the primary is draining.
+     *
+     * @param drainingSinceMs the times that control has sent
+     */
+    void announceDrainingPrimary(Map<String, Long> drainingSinceMs) {
+        DatabaseInstance announced = primary.instance();
+        DatabaseInstance draining = new DatabaseInstance(
+                announced.instanceId(),
+                announced.service(),
+                announced.address(),
+                announced.failureDomain(),
+                announced.slots(),
+                true,
+                announced.primary(),
+                announced.bornMs(),
+                announced.sequence() + 1);
+        engine.onView(SystemView.of(
+                view.configuration(),
+                List.of(draining, nearReplica.instance(), farReplica.instance()),
+                view.promotedIds(),
+                view.proxyCount(),
+                drainingSinceMs));
+    }
+
     /** Delivers a position of the primary, which control requested some time ago. */
     void deliverPositionFromControl(long ageMs) {
         engine.onSharedPosition(FakeDatabase.SERVICE, clock.millis() - ageMs, engine.clockEpoch(), LogPosition.NONE);
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -490,6 +490,26 @@
         assertThat(harness.engine.isDrained()).isTrue();
     }
 
+    /**
+     * A draining primary without a successor serves for 4 s after its announcement. A proxy that started or was reached late counted from its
+     * own first view, which remains so if control sends no age (review case 15).
+     */
+    @ParameterizedTest
+    @CsvSource({"3800, 100, true", "3800, 300, false", "'', 3900, true", "'', 4100, false"})
+    void aDrainingPrimaryServesUntilItsTimeSinceTheAnnouncementIsOver(String ageMs, long sentAfterMs, boolean served) {
+        harness.run(10_000);
+        harness.announceDrainingPrimary(
+                ageMs.isEmpty()
+                        ? Map.of()
+                        : Map.of(harness.primary.id, harness.clock.millis() - Long.parseLong(ageMs)));
+        harness.run(sentAfterMs);
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(2_000);
+
+        assertThat(client.lastReply().isSuccess()).isEqualTo(served);
+        assertThat(harness.primary.executedStatements).hasSize(served ? 1 : 0);
+    }
+
     /** The COMMIT was answered with IN_DOUBT, since the proxy closed the connection below it (review case 14). */
     @ParameterizedTest
     @CsvSource({"2950, 300", "2999, 700"})
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -16,6 +16,7 @@
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.core.route.DatabaseInstance;
+import org.hornbeamspread.protocol.schema.DrainingInstance;
 import org.hornbeamspread.protocol.schema.Endpoint;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.Position;
@@ -128,6 +129,23 @@
         assertThat(instanceIds()).containsExactly("a", "c").inOrder();
     }
 
+    /** A late proxy counted the time of a draining primary from its own start (review case 15). */
+    @Test
+    void timeOfADrainingAnnouncementIsThatOfControl() throws InterruptedException {
+        start();
+        nextWatch()
+                .answer(update(1)
+                        .addInstances(instance("a", 1))
+                        .addDraining(
+                                DrainingInstance.newBuilder().setInstanceId("a").setAgeMs(3_500)));
+        nextWatch();
+        Map<String, Long> drainingSinceMs = CompletableFuture.supplyAsync(
+                        () -> engine.view().drainingSinceMs(), group.next())
+                .join();
+
+        assertThat(drainingSinceMs).containsExactly("a", clock.millis() - 3_500);
+    }
+
     /** A control member with a port out of range ended the polling of each proxy that tried to connect to it. */
     @ParameterizedTest
     @ValueSource(ints = {-1, 0, 65_536})
