--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.hornbeamspread.core.failover.CommitReports;
+import org.hornbeamspread.core.failover.PromotionSeal;
 import org.hornbeamspread.core.failover.Seal;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
@@ -14,6 +15,7 @@
 import org.hornbeamspread.core.misc.ManualClock;
 import org.hornbeamspread.protocol.schema.CommitReport;
 import org.hornbeamspread.protocol.schema.ControlState;
+import org.hornbeamspread.protocol.schema.DrainingInstance;
 import org.hornbeamspread.protocol.schema.Envelope;
 import org.hornbeamspread.protocol.schema.GroupTerm;
 import org.hornbeamspread.protocol.schema.Position;
@@ -51,6 +53,7 @@
     @BeforeEach
     void begin() {
         proxies.onLeadershipGained(3);
+        clock.advance(Duration.ofMillis(PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS + 1));
         proxies.publish(STATE_WITH_VERSION_7, List.of(), List.of());
     }
 
@@ -268,6 +271,17 @@
         assertThat(lastUpdate().getSealedList()).isEmpty();
     }
 
+    /** A new leader without reports chose an instance that lacked commits which proxies had reported to its predecessor. */
+    @Test
+    void reportsArePendingUntilProxiesHaveFoundANewLeader() {
+        proxies.onLeadershipGained(4);
+        assertThat(proxies.commitReports("ledger", 4).pending()).isTrue();
+        assertThat(proxies.commitReports("ledger", 0).pending()).isFalse();
+        clock.advance(Duration.ofMillis(PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS + 1));
+
+        assertThat(proxies.commitReports("ledger", 4).pending()).isFalse();
+    }
+
     /** A proxy that has not reported may acknowledge more: a successor that is chosen before lacks these commits. */
     @Test
     void reportsArePendingUntilEveryProxyInTouchHasReported() {
@@ -405,6 +419,35 @@
                 .build();
     }
 
+    /** A proxy that started late counted from its own start, and sent to a draining primary past its limit (review case 15). */
+    @Test
+    void ageOfADrainingAnnouncementIsSentToProxiesThatJoinLater() {
+        RegisteredInstance draining = RegisteredInstance.newBuilder()
+                .setInstanceId("b")
+                .setBornMs(5)
+                .setDraining(true)
+                .build();
+        ControlState state =
+                STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build();
+        proxies.publish(state, List.of(draining), List.of());
+        advance(3_000);
+        proxies.onLeadershipGained(4);
+        proxies.publish(state, List.of(draining), List.of());
+        advance(1_000);
+        proxies.watch(watchRequest("late").build(), answers::add);
+        assertThat(lastUpdate().getDrainingList())
+                .containsExactly(DrainingInstance.newBuilder()
+                        .setInstanceId("b")
+                        .setAgeMs(4_000)
+                        .build());
+        RegisteredInstance restarted = draining.toBuilder().setBornMs(6).build();
+        proxies.publish(
+                STATE_WITH_VERSION_7.toBuilder().addInstances(restarted).build(), List.of(restarted), List.of());
+        proxies.watch(watchRequest("later").build(), answers::add);
+
+        assertThat(lastUpdate().getDraining(0).getAgeMs()).isEqualTo(0);
+    }
+
     private static WatchSystem.Builder watchRequest(String proxyId) {
         return WatchSystem.newBuilder().setProxyId(proxyId);
     }
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedProxies.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedProxies.java
@@ -43,6 +43,8 @@
     private AcknowledgedCommits reported = AcknowledgedCommits.NONE;
 
     /** What the leader last published. */
+    private long leaderSinceMs;
+
     private Optional<Seal> seal = Optional.empty();
 
     private boolean viewChanged;
@@ -135,6 +137,7 @@
 
     /** The leader was replaced by a control member that has no reports. */
     void onLeaderChanged() {
+        leaderSinceMs = clock.millis();
         reported = AcknowledgedCommits.NONE;
         seal = Optional.empty();
         reportsInFlight.clear();
@@ -146,11 +149,12 @@
         if (!reportsUsed) {
             return CommitReports.NONE;
         }
-        boolean pending = seal.isPresent()
+        boolean newLeader = clock.millis() - leaderSinceMs <= PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS;
+        boolean unsealed = seal.isPresent()
                 && proxies.stream()
                         .filter(proxy -> clock.millis() - proxy.watchedAtMs <= WATCH_EXPIRY_MS)
                         .anyMatch(proxy -> proxy.sealedToken < seal.get().token());
-        return new CommitReports(reported, pending);
+        return new CommitReports(reported, newLeader || unsealed);
     }
 
     /**
