--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -126,10 +126,14 @@
      * @param token the token of the promotion in progress, also before its seal is published; 0 for none
      */
     CommitReports commitReports(String service, long token) {
+        return new CommitReports(commits.acknowledged(service), token > 0 && awaitsReports(service, token));
+    }
+
+    private boolean awaitsReports(String service, long token) {
         boolean newLeader = clock.millis() - leaderSinceMs <= PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS;
-        boolean unsealed =
-                recentWatchers().stream().anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
-        return new CommitReports(commits.acknowledged(service), token > 0 && (newLeader || unsealed));
+        return newLeader
+                || recentWatchers().stream()
+                        .anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
     }
 
     private List<Watcher> recentWatchers() {
--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -237,7 +237,9 @@
     /** Whether a replica that responded under the current token has a later position than an instance. */
     boolean isBehindReplica(String id) {
         LogPosition received = receivedPositionOf(id);
-        return statuses.values().stream().anyMatch(status -> !status.primary() && !received.covers(status.received()));
+        return latestReplicaPosition()
+                .filter(latest -> !received.covers(latest))
+                .isPresent();
     }
 
     /** The latest term that an instance has reported under the current token; 0 for none. */
