--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/ClientSession.java
@@ -107,9 +107,14 @@
         closeIfIdle();
     }
 
-    /** Rolls back an open transaction; the client receives the error as the response to its next request. */
+    /**
+     * Rolls back an open transaction; the client receives the error as the response to its next request. A transaction whose COMMIT
+     * is running ends by the response to it, since the database may commit whatever the proxy does.
+     */
     void abortTransaction(String reason) {
-        if (state == TransactionState.OPEN && abortReason.isEmpty()) {
+        boolean committing =
+                transaction.filter(SessionTransaction::isCommitting).isPresent();
+        if (state == TransactionState.OPEN && abortReason.isEmpty() && !committing) {
             abortReason = Optional.of(reason);
             context.events().record("transaction_aborted", "database", database, "reason", reason);
             if (currentOperation.isEmpty()) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionEngine.java
@@ -235,7 +235,9 @@
     /**
      * Closes all sessions. Until the load balancer has detected the drain, service continues unchanged, since a client whose
      * session is closed would be routed back to this proxy. Then idle sessions are closed in steps, and the others as soon as
-     * they are idle. Open transactions are aborted after half of the grace period.
+     * they are idle. Open transactions are aborted after half of the grace period, unless a COMMIT is running.
+     *
+     * @param graceMs the time from the request to stop until the process is killed
      */
     public void drain(long graceMs) {
         if (draining) {
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SessionTransaction.java
@@ -30,6 +30,10 @@
     private boolean begun;
 
     private boolean hasWrites;
+
+    /** Whether COMMIT has started; the transaction ends with its result. */
+    private boolean committing;
+
     private boolean ended;
 
     SessionTransaction(SessionContext context, ClientSession session, Route route, boolean readOnly) {
@@ -77,6 +81,10 @@
                 });
     }
 
+    boolean isCommitting() {
+        return committing;
+    }
+
     /** Ends the transaction while a statement runs, by closing its connection. */
     void discard() {
         lease.ifPresent(ConnectionLease::discard);
@@ -117,6 +125,7 @@
 
         @Override
         public void start() {
+            committing |= statement.kind() == ForwardedStatement.Kind.COMMIT;
             if (readOnly && statement.kind() == ForwardedStatement.Kind.WRITE) {
                 context.onRefused(RefusalReason.READ_ONLY_TRANSACTION);
                 fail(SqlError.READ_ONLY, "", RefusalReason.READ_ONLY_TRANSACTION.name());
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -490,6 +490,52 @@
         assertThat(harness.engine.isDrained()).isTrue();
     }
 
+    /** The COMMIT was answered with IN_DOUBT, since the proxy closed the connection below it (review case 14). */
+    @ParameterizedTest
+    @CsvSource({"2950, 300", "2999, 700"})
+    void aCommitAtWorkIsNotBrokenOffByADrain(long sentMs, long workMs) {
+        harness.primary.serviceMs = 1;
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("b", new Begin(false));
+        client.send("s1", new Write("item", "5"));
+        harness.run(100);
+        harness.engine.drain(6_000);
+        harness.run(1_400);
+        client.send("s2", new Read("item"));
+        harness.run(sentMs - 1_400);
+        assertThat(client.lastReply().isSuccess()).isTrue();
+        harness.primary.serviceMs = workMs;
+        client.send("c", new Commit());
+        harness.run(workMs - 10);
+        assertThat(client.replies).hasSize(3);
+        assertThat(harness.engine.isDrained()).isFalse();
+        harness.run(100);
+
+        assertThat(client.lastReply().error()).isEmpty();
+        assertThat(harness.primary.executedStatements.get(2).transactionIds())
+                .containsExactly("s1", "s2", "c")
+                .inOrder();
+        assertThat(client.closed).isTrue();
+        assertThat(harness.engine.isDrained()).isTrue();
+    }
+
+    /** An open transaction has exactly the first half of the grace period. */
+    @ParameterizedTest
+    @CsvSource({"2990, true", "3010, false"})
+    void aDrainAbortsOpenTransactionsAfterHalfOfTheGracePeriod(long sentMs, boolean runs) {
+        harness.primary.serviceMs = 1;
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("b", new Begin(false));
+        client.send("s1", new Write("item", "5"));
+        harness.run(100);
+        harness.engine.drain(6_000);
+        harness.run(1_400);
+        client.send("s2", new Read("item"));
+        harness.run(sentMs - 1_400);
+        client.send("s3", new Read("item"));
+        harness.run(5);
+
+        assertThat(client.lastReply().isSuccess()).isEqualTo(runs);
+    }
+
     /**
      * The primary is unreachable, or is no longer the primary. Regression of the second case (fleetbench run ujaas-core,
      * trouble-1): four of six proxies refused statements for six seconds, and the load balancer kept routing to them.
