--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -51,9 +51,6 @@
     /** Minimum time between two replacements of primaries that some proxies can't reach: another one may not help. */
     private static final long UNREACHABLE_REPLACEMENT_INTERVAL_MS = 10_000;
 
-    /** Minimum time between two evidence events of a promotion that waits for responses. */
-    private static final long EVIDENCE_LOG_INTERVAL_MS = 1_000;
-
     /** Failures of a command that the database certainly does not carry out: it was not sent, or was rejected. */
     private static final Set<FailureType> NOT_CARRIED_OUT = Set.of(
             FailureType.CONNECTION_REFUSED,
@@ -153,15 +150,10 @@
         private final PrimaryProbe probe;
         private final SyncGroupFailover failover =
                 new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, leaderTerm);
+        private final PromotionEvidence evidence;
         private List<DatabaseInstance> members = List.of();
         private List<LostCopy> lostCopies = List.of();
 
-        private long evidenceLoggedAtMs;
-        private long withheldLoggedAtMs = Long.MIN_VALUE / 2;
-
-        /** The token of the latest promotion that was withheld; 0 for none. */
-        private long withheldToken;
-
         private long concludedAtMs = Long.MIN_VALUE / 2;
         private boolean settled = true;
 
@@ -193,6 +185,7 @@
         DatabaseGroup(String service) {
             this.service = service;
             this.probe = new PrimaryProbe(service, databases, watchingProxies, clock, routesThread);
+            this.evidence = new PromotionEvidence(service, failover, clock, events, metrics);
         }
 
         void tick(Supplier<ControlState> state, InstanceRegistry registry, Map<String, Long> announcementTimesMs) {
@@ -224,54 +217,7 @@
             List<SyncFailoverEffect> effects = failover.step(snapshot);
             watchingProxies.seal(service, failover.seal().filter(seal -> acknowledgedByReplicas));
             effects.forEach(effect -> apply(effect, snapshot));
-            if (!settled && clock.millis() - evidenceLoggedAtMs > EVIDENCE_LOG_INTERVAL_MS) {
-                logEvidence(snapshot);
-            }
-            failover.withheldPosition(snapshot).ifPresent(latest -> onWithheld(snapshot, latest));
-        }
-
-        /** Counts and logs a promotion that waits for an instance with a commit that proxies have acknowledged. */
-        private void onWithheld(GroupSnapshot snapshot, LogPosition bestPosition) {
-            if (withheldToken != snapshot.token()) {
-                withheldToken = snapshot.token();
-                metrics.onPromotionWithheld();
-            }
-            if (clock.millis() - withheldLoggedAtMs <= EVIDENCE_LOG_INTERVAL_MS) {
-                return;
-            }
-            withheldLoggedAtMs = clock.millis();
-            AcknowledgedCommits acknowledged = snapshot.commitReports().acknowledged();
-            events.record(
-                    "promotion_withheld",
-                    "service",
-                    service,
-                    "token",
-                    snapshot.token(),
-                    "best_position",
-                    bestPosition,
-                    "acknowledged_certain",
-                    acknowledged.certain(),
-                    "acknowledged_possible",
-                    acknowledged.possible());
-        }
-
-        /** Logs the evidence on which an instance is chosen, or that shows why none can be chosen yet. */
-        private void logEvidence(GroupSnapshot snapshot) {
-            evidenceLoggedAtMs = clock.millis();
-            events.record(
-                    "promotion_evidence",
-                    "service",
-                    service,
-                    "token",
-                    snapshot.token(),
-                    "copies",
-                    failover.copyCount(snapshot),
-                    "lost_copies",
-                    snapshot.lostCopies(),
-                    "acknowledged",
-                    snapshot.commitReports(),
-                    "answers",
-                    failover.describeStatuses(snapshot));
+            evidence.onStep(snapshot, !settled);
         }
 
         private GroupSnapshot snapshot(ControlState state) {
@@ -359,7 +305,7 @@
                         raise.unsettledChoices(),
                         snapshot.commitReports().acknowledged());
             } else if (effect instanceof SyncFailoverEffect.Choose choose) {
-                logEvidence(snapshot);
+                evidence.record(snapshot);
                 commitGroupTerm(
                         choose.token(),
                         choose.token(),
