A promotion waits for a copy of which nobody may have told: silent proxies and silent control members

What callers saw: commits that had been acknowledged were missing in the log of the promoted database (LOST). A replica joined and alone acknowledged; its first announcement waited at a control member that stood still; the primary crashed within the next 60 ms; and the proxy that had acknowledged stood still or was killed at that moment.

Cause: silence was read as "nothing to report". A proxy without a report 400 ms after the seal was left out, one without a watch request for two hold times didn't count at all, a restarted one reported for the process before it, and a new leader knew of none. The choice then rested on the count of copies, which lacked the replica that no member had heard of. A member that does not respond was known to the log, and not to promotions.

Red with the wait switched off: SyncFailoverHistoriesTest#noCommitOfASilentProxyIsLostWhenACopyRegistersLate (2 of 3 cases), SyncGroupFailoverTest#choiceAwaitsADatabaseOfWhichNobodyMayHaveTold (3 of 9 cases), #databaseThatRegistersMeanwhileIsChosen.

Change: CommitReporters knows which proxies may have acknowledged commits that they have not reported: those without a report under the seal, ended processes whose successor has watched, and, for 10 s, those that only an earlier leader knew. SilentMembers knows the control members that don't respond or didn't a moment ago. Where both are silent, a choice that rests on the count of copies (RegistrationWait) waits until the announcement must have arrived: one interval of announcements and one second for each silent member, from the last proof of the primary or the end of the last silent proxy. A demoted primary proves what it did before. A proxy that drains reports once more and says so, so that planned restarts delay nothing. promotion_evidence names the silent ones, promotion_delayed and its counter say when a promotion waits.

Why it works: a commit that no log in reach has was acknowledged by a proxy and by a copy. Either the proxy reports it, or the copy is registered by the time at which it can be chosen. With all proxies or all control members in touch nothing waits.

--- a/control/src/main/java/org/hornbeamspread/control/routes/PromotionEvidence.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/PromotionEvidence.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import org.hornbeamspread.core.failover.AcknowledgedCommits;
 import org.hornbeamspread.core.failover.GroupSnapshot;
+import org.hornbeamspread.core.failover.SilentParties;
 import org.hornbeamspread.core.failover.SyncGroupFailover;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.LogPosition;
@@ -26,8 +27,10 @@
     /** The token of the latest promotion that was withheld; 0 for none. */
     private long withheldToken;
 
-    PromotionEvidence(
-            String service, SyncGroupFailover failover, Clock clock, EventLog events, RouteMetrics metrics) {
+    /** The token of the latest promotion that waited for a database to register; 0 for none. */
+    private long delayedToken;
+
+    PromotionEvidence(String service, SyncGroupFailover failover, Clock clock, EventLog events, RouteMetrics metrics) {
         this.service = service;
         this.failover = failover;
         this.clock = clock;
@@ -41,6 +44,9 @@
             record(snapshot);
         }
         failover.withheldPosition(snapshot).ifPresent(latest -> onWithheld(snapshot, latest));
+        if (delayedToken != snapshot.token() && failover.awaitsRegistration(snapshot)) {
+            onDelayed(snapshot);
+        }
     }
 
     /** Logs the evidence on which an instance is chosen, or that shows why none can be chosen yet. */
@@ -57,11 +63,34 @@
                 "lost_copies",
                 snapshot.lostCopies(),
                 "acknowledged",
-                snapshot.commitReports(),
+                snapshot.commitReports().acknowledged(),
+                "reports_pending",
+                snapshot.commitReports().pending(),
+                "silent_proxies",
+                snapshot.commitReports().silent().proxies(),
+                "silent_members",
+                snapshot.commitReports().silent().controlMembers(),
                 "answers",
                 failover.describeStatuses(snapshot));
     }
 
+    /** Counts and logs a promotion that waits, since nobody may have told of a database that is about to be registered. */
+    private void onDelayed(GroupSnapshot snapshot) {
+        delayedToken = snapshot.token();
+        metrics.onPromotionDelayed();
+        SilentParties silent = snapshot.commitReports().silent();
+        events.record(
+                "promotion_delayed",
+                "service",
+                service,
+                "token",
+                snapshot.token(),
+                "silent_proxies",
+                silent.proxies(),
+                "silent_members",
+                silent.controlMembers());
+    }
+
     /** Counts and logs a promotion that waits for an instance with a commit that proxies have acknowledged. */
     private void onWithheld(GroupSnapshot snapshot, LogPosition bestPosition) {
         if (withheldToken != snapshot.token()) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteControl.java
@@ -79,7 +79,7 @@
         this.events = events;
         this.thread = new EventLoopThread<>("routes", RING_CAPACITY_EVENTS, Runnable::run, TICK_INTERVAL, this::tick);
         this.liveness = new DatabaseLivenessTracker(clock, events);
-        this.watchingProxies = new WatchingProxies(clock, new ClockJumpDetector(clock, timeOfDay), events);
+        this.watchingProxies = new WatchingProxies(memberId, clock, new ClockJumpDetector(clock, timeOfDay), events);
         this.promotions = new ServicePromotions(
                 memberId, log, databases, promoter, clock, events, metrics, thread::offer, watchingProxies);
         this.announcements = new InstanceAnnouncements(
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteMetrics.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteMetrics.java
@@ -14,6 +14,7 @@
 
     private final Counter steps;
     private final Counter withheldPromotions;
+    private final Counter delayedPromotions;
     private final Counter refusals;
     private final Counter commits;
     private final Counter announcements;
@@ -31,6 +32,11 @@
                 .name("hornbeamspread_route_promotions_withheld_total")
                 .help("Promotions that waited since every replica that responded lacked an acknowledged commit")
                 .register(registry);
+        delayedPromotions = Counter.builder()
+                .name("hornbeamspread_route_promotions_delayed_total")
+                .help(
+                        "Promotions that waited for a database to register, since proxies and control members were silent")
+                .register(registry);
         refusals = Counter.builder()
                 .name("hornbeamspread_route_refusals_total")
                 .help("Calls refused, by failure type")
@@ -71,6 +77,10 @@
         withheldPromotions.inc();
     }
 
+    void onPromotionDelayed() {
+        delayedPromotions.inc();
+    }
+
     void onCommit(String kind) {
         commits.labelValues(kind).inc();
     }
--- a/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/ServicePromotions.java
@@ -25,7 +25,6 @@
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
-import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.route.DatabaseInstance;
 import org.hornbeamspread.core.route.InstanceRegistry;
 import org.hornbeamspread.core.route.LostCopy;
@@ -268,7 +267,8 @@
             AcknowledgedCommits committed = new AcknowledgedCommits(
                     Envelopes.position(record.getAcknowledgedCertain()),
                     Envelopes.position(record.getAcknowledgedPossible()));
-            return new CommitReports(AcknowledgedCommits.max(reports.acknowledged(), committed), reports.pending());
+            return new CommitReports(
+                    AcknowledgedCommits.max(reports.acknowledged(), committed), reports.pending(), reports.silent());
         }
 
         private boolean isUnreachableFromProxies(String primaryId) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -10,6 +10,7 @@
 import org.hornbeamspread.core.failover.CommitReports;
 import org.hornbeamspread.core.failover.PromotionSeal;
 import org.hornbeamspread.core.failover.Seal;
+import org.hornbeamspread.core.failover.SilentParties;
 import org.hornbeamspread.core.misc.ClockJumpDetector;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.misc.FailureException;
@@ -66,14 +67,18 @@
 
     private final ClockJumpDetector clockJumpDetector;
     private final ReportedCommits commits = new ReportedCommits();
+    private final CommitReporters reporters;
+    private final SilentMembers silentMembers;
     private final DrainingInstances draining;
     private final EventLog events;
     private long clockEpoch;
     private List<RegisteredInstance> visibleInstances = List.of();
     private List<ControlMember> controlMembers = List.of();
 
-    WatchingProxies(Clock clock, ClockJumpDetector clockJumpDetector, EventLog events) {
+    WatchingProxies(String memberId, Clock clock, ClockJumpDetector clockJumpDetector, EventLog events) {
         this.clock = clock;
+        this.reporters = new CommitReporters(clock);
+        this.silentMembers = new SilentMembers(memberId, clock);
         this.events = events;
         this.clockJumpDetector = clockJumpDetector;
         this.draining = new DrainingInstances(clock);
@@ -126,14 +131,20 @@
      * @param token the token of the promotion in progress, also before its seal is published; 0 for none
      */
     CommitReports commitReports(String service, long token) {
-        return new CommitReports(commits.acknowledged(service), token > 0 && awaitsReports(service, token));
+        if (token == 0) {
+            return new CommitReports(commits.acknowledged(service), false);
+        }
+        return new CommitReports(
+                commits.acknowledged(service),
+                awaitsReports(service, token),
+                new SilentParties(reporters.silent(service, token), silentMembers.ids()));
     }
 
     private boolean awaitsReports(String service, long token) {
         boolean newLeader = clock.millis() - leaderSinceMs <= PromotionSeal.NEW_LEADER_REPORT_TIMEOUT_MS;
         return newLeader
                 || recentWatchers().stream()
-                        .anyMatch(watcher -> watcher.sealedTokens.getOrDefault(service, 0L) < token);
+                        .anyMatch(watcher -> !reporters.hasReported(watcher.request.getProxyId(), service, token));
     }
 
     private List<Watcher> recentWatchers() {
@@ -174,6 +185,8 @@
         leaderSinceMs = clock.millis();
         view.reset();
         commits.onLeadershipGained();
+        reporters.onLeadershipGained();
+        silentMembers.onLeadershipGained();
     }
 
     /** Handles a watch request. Returns whether a report under a seal came with it. */
@@ -182,21 +195,25 @@
         watcher.request = request;
         watcher.receivedAtMs = clock.millis();
         watcher.replyCallback = Optional.of(callback);
-        watcher.sealedTokens.clear();
+        Map<String, Long> sealedTokens = new HashMap<>();
         for (CommitReport report : request.getCommitsList()) {
-            onReport(watcher, report);
+            onReport(watcher, report, sealedTokens);
         }
-        if (!isUpToDate(request) || request.getPositionsWanted()) {
+        reporters.onRequest(request.getProxyId(), request.getIncarnation(), sealedTokens, request.getLeaving());
+        if (!isUpToDate(request) || request.getPositionsWanted() || request.getLeaving()) {
             sendUpdate(watcher);
         }
+        if (request.getLeaving()) {
+            watchers.remove(request.getProxyId());
+        }
         return commits.hasSeals() && request.getCommitsCount() > 0;
     }
 
     /** Handles a report of a proxy. One that can't be read must not keep the proxy from its updates. */
-    private void onReport(Watcher watcher, CommitReport report) {
+    private void onReport(Watcher watcher, CommitReport report, Map<String, Long> sealedTokens) {
         try {
             commits.onReport(report, watcher.receivedAtMs);
-            watcher.sealedTokens.put(report.getService(), report.getSealedToken());
+            sealedTokens.put(report.getService(), report.getSealedToken());
         } catch (FailureException e) {
             events.record(
                     "commit_report_refused",
@@ -218,6 +235,7 @@
         state = newState;
         visibleInstances = List.copyOf(newVisibleInstances);
         controlMembers = List.copyOf(members);
+        silentMembers.update(members);
         draining.update(newState.getInstancesList());
         List<Endpoint> peers = members.stream()
                 .map(ControlMember::getPeer)
@@ -354,9 +372,6 @@
     private static final class Watcher {
         private WatchSystem request = WatchSystem.getDefaultInstance();
 
-        /** The token of the latest seal of each service that the proxy has applied. */
-        private final Map<String, Long> sealedTokens = new HashMap<>();
-
         private long receivedAtMs;
 
         /** The number of proxies in the last update to this proxy; 0 before the first. */
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -47,7 +47,7 @@
     private final ManualClock clock = new ManualClock();
     private final ManualClock timeOfDay = new ManualClock();
     private final WatchingProxies proxies =
-            new WatchingProxies(clock, new ClockJumpDetector(clock, timeOfDay), EventLog.NONE);
+            new WatchingProxies("c1", clock, new ClockJumpDetector(clock, timeOfDay), EventLog.NONE);
     private final List<Envelope> answers = new ArrayList<>();
 
     @BeforeEach
--- a/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/FencingState.java
@@ -171,13 +171,15 @@
      * @param primaryReachable whether the primary was reached recently, so that its demotion is awaited
      * @param acknowledged bounds of the latest commit that proxies have acknowledged; an instance that lacks it is no candidate,
      *     whatever the count of copies shows
+     * @param registrationAwaited whether a database may be about to be registered that the count of copies lacks
      */
     Optional<String> candidate(
             List<MemberView> members,
             long copies,
             Set<String> unreliablePauseIds,
             boolean primaryReachable,
-            AcknowledgedCommits acknowledged) {
+            AcknowledgedCommits acknowledged,
+            boolean registrationAwaited) {
         List<MemberView> replicas = members.stream()
                 .filter(member -> isRespondingReplica(member.instanceId()))
                 .toList();
@@ -193,8 +195,11 @@
         boolean demotedResponding = replicas.stream().anyMatch(member -> isDemoted(member.instanceId()));
         boolean allFenced = replicas.stream().allMatch(member -> isFenced(member, receiving.contains(member)));
         boolean onlyCandidateReceives = receiving.isEmpty() || mostAdvanced.equals(Optional.of(receiving.get(0)));
-        boolean allButOneFenced =
-                allFenced && replicas.size() >= copies - 1 && receiving.size() <= 1 && onlyCandidateReceives;
+        boolean allButOneFenced = !registrationAwaited
+                && allFenced
+                && replicas.size() >= copies - 1
+                && receiving.size() <= 1
+                && onlyCandidateReceives;
         boolean noneLeads = replicas.size() == members.size()
                 && copies == members.size()
                 && replicas.stream().noneMatch(this::hasUnexplainedEmptyLog);
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -67,6 +67,7 @@
     private final ReplicaPauses pauses;
     private final PromotionTakeover takeover;
     private final PromotionSeal seal;
+    private final RegistrationWait registrationWait;
     private final Map<String, Long> commandsSentAtMs = new HashMap<>();
 
     /** The token that this leader raised; 0 for none. */
@@ -111,6 +112,7 @@
         this.pauses = new ReplicaPauses(clock, leaderTerm);
         this.takeover = new PromotionTakeover(clock, timings, fencing);
         this.seal = new PromotionSeal(clock, fencing);
+        this.registrationWait = new RegistrationWait(clock);
         this.lastPrimaryProofAtMs = clock.millis() + timings.initialDetectionMs() - timings.detectionMs();
     }
 
@@ -391,7 +393,16 @@
                 copyCount(snapshot),
                 pauses.unreliableIds(snapshot),
                 isPrimaryReachable(snapshot),
-                snapshot.commitReports().acknowledged());
+                snapshot.commitReports().acknowledged(),
+                awaitsRegistration(snapshot));
+    }
+
+    /** Whether the choice waits for a database that may be about to be registered. An order that was sent is not called back. */
+    public boolean awaitsRegistration(GroupSnapshot snapshot) {
+        return !promotionRequested
+                && snapshot.token() == ownToken
+                && !snapshot.concluded()
+                && registrationWait.isRequired(snapshot.commitReports().silent(), lastPrimaryProofAtMs);
     }
 
     /** The seal in force; empty if proxies may acknowledge every commit. */
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedGroup.java
@@ -75,6 +75,17 @@
     /** The first announcement of a database that joins may take this long. */
     private static final int MAX_FIRST_ANNOUNCEMENT_DELAY_MS = 1_000;
 
+    /** The same if a control member stands still: one interval between announcements, and most of the second that one waits there. */
+    private static final int MAX_DELAY_AT_SILENT_MEMBER_MS = 2_000;
+
+    /** Commits of longer ago have been reported: an episode with silent proxies is shorter. */
+    private static final int MAX_UNREPORTED_MS = 300;
+
+    /** The control leader counts a member as silent for this long after it has responded again, and itself for the length of an election. */
+    private static final long MEMBER_SILENCE_RETENTION_MS = 4_000;
+
+    private static final long ELECTION_MS = 1_000;
+
     /** Long enough for every promotion request, takeover, pause and round of status requests to end. */
     private static final int FAULT_FREE_STEPS = 500;
 
@@ -96,6 +107,12 @@
         /** Proxies acknowledge commits and report them; the check for lost commits relies on what they acknowledged. */
         PROXIES,
 
+        /**
+         * With {@link #PROXIES} and {@link #LONE_COPIES}: a control member stands still, at which the database that joins waits, and proxies
+         * stand still or die with their last commits unreported as the primary crashes or is cut off. All acknowledged commits count.
+         */
+        SILENT_WITNESSES,
+
         /** With {@link #PROXIES}, control uses no reports and sends no seals. */
         REPORTS_IGNORED,
 
@@ -202,6 +219,14 @@
     /** When the primary of an episode crashes or is cut off; 0 for none. */
     private long episodeEndsAtMs;
 
+    /** When proxies fall silent in an episode; 0 for none. */
+    private long proxiesSilencedAtMs;
+
+    /** Until when the control leader counts a member as silent, and since when it leads. */
+    private long memberSilentUntilMs;
+
+    private long leaderSinceMs;
+
     /** The only replica that receives, and when it loses its log. */
     private Optional<SimulatedDatabase> onlyCopy = Optional.empty();
 
@@ -235,7 +260,10 @@
         this.foreign = new ForeignAnnouncements(new Random(Long.MIN_VALUE + seed));
         this.proxies = scenario.has(Faults.PROXIES)
                 ? Optional.of(new SimulatedProxies(
-                        clock, new Random(Long.MAX_VALUE - seed), !scenario.has(Faults.REPORTS_IGNORED)))
+                        clock,
+                        new Random(Long.MAX_VALUE - seed),
+                        !scenario.has(Faults.REPORTS_IGNORED),
+                        scenario.has(Faults.SILENT_WITNESSES)))
                 : Optional.empty();
         this.outdated = new OutdatedAnnouncements(clock);
         registry.nameServices(List.of(SimulatedDatabase.SERVICE));
@@ -385,6 +413,11 @@
                         .isPresent()) {
             joinUnreachablePrimary();
         }
+        if (proxiesSilencedAtMs > 0 && clock.millis() >= proxiesSilencedAtMs) {
+            proxiesSilencedAtMs = 0;
+            addTrace("proxies fall silent");
+            proxies.ifPresent(SimulatedProxies::silence);
+        }
         if (episodeEndsAtMs > 0 && clock.millis() >= episodeEndsAtMs) {
             episodeEndsAtMs = 0;
             primary().filter(database -> database.up).ifPresent(this::crashOrCutOff);
@@ -411,6 +444,23 @@
         return scenario.has(Faults.LATE_RECEPTION) || noPromotionPending();
     }
 
+    /** Whether a database that joins now may receive before it is registered: with silent proxies, only from a primary that control reaches. */
+    private boolean mayReceiveUnregistered() {
+        boolean primaryReached = concluded
+                && primary()
+                        .filter(database -> database.up && database.reachable)
+                        .isPresent();
+        return mayReceiveNewly() && (primaryReached || !scenario.has(Faults.SILENT_WITNESSES));
+    }
+
+    /** The control members that the leader counts as silent. */
+    private List<String> silentMembers() {
+        if (clock.millis() <= memberSilentUntilMs) {
+            return List.of("frozen");
+        }
+        return clock.millis() - leaderSinceMs <= ELECTION_MS ? List.of("self") : List.of();
+    }
+
     private void crashOrCutOff(SimulatedDatabase database) {
         if (faultRandom.nextBoolean()) {
             crash(database);
@@ -492,6 +542,7 @@
     private void changeLeader() {
         addTrace("control leader changes");
         failover = new SyncGroupFailover(clock, SyncFailoverTimings.DEFAULT, ++leaderTerm);
+        leaderSinceMs = clock.millis();
         proxies.ifPresent(SimulatedProxies::onLeaderChanged);
         outdated.clear();
         announcedAtMs.replaceAll((id, announced) -> clock.millis());
@@ -563,12 +614,23 @@
         if (scenario.has(Faults.UNREGISTERED_COPIES)
                 || scenario.has(Faults.LONE_COPIES)
                 || scenario.has(Faults.LATE_RECEPTION)) {
-            joining.receivesUnannounced = mayReceiveNewly();
-            joining.announcesFromMs = nowMs + faultRandom.nextInt(MAX_FIRST_ANNOUNCEMENT_DELAY_MS);
+            joining.receivesUnannounced = mayReceiveUnregistered();
+            joining.announcesFromMs = nowMs
+                    + faultRandom.nextInt(
+                            scenario.has(Faults.SILENT_WITNESSES)
+                                    ? MAX_DELAY_AT_SILENT_MEMBER_MS
+                                    : MAX_FIRST_ANNOUNCEMENT_DELAY_MS);
         }
         if (scenario.has(Faults.LONE_COPIES)) {
             startEpisode(joining);
         }
+        if (scenario.has(Faults.SILENT_WITNESSES)) {
+            memberSilentUntilMs = joining.announcesFromMs + MEMBER_SILENCE_RETENTION_MS;
+            if (episodeEndsAtMs > 0) {
+                episodeEndsAtMs = nowMs + STEP_MS + faultRandom.nextInt(MAX_UNREPORTED_MS);
+                proxiesSilencedAtMs = Math.max(nowMs, episodeEndsAtMs + faultRandom.nextInt(400) - 200);
+            }
+        }
         return joining;
     }
 
@@ -863,7 +925,8 @@
                 0,
                 false,
                 unreachableFromProxies,
-                proxies.map(SimulatedProxies::reports).orElse(CommitReports.NONE));
+                proxies.map(each -> each.reports(concluded ? List.of() : silentMembers()))
+                        .orElse(CommitReports.NONE));
     }
 
     /** The primary that control observes. */
--- a/core/src/test/java/org/hornbeamspread/core/failover/SimulatedProxies.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SimulatedProxies.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.hornbeamspread.core.failover.CommitTracker.SentCommit;
+import org.hornbeamspread.core.failover.SilentParties.SilentProxy;
 import org.hornbeamspread.core.misc.LogPosition;
 import org.hornbeamspread.core.misc.ManualClock;
 
@@ -16,6 +18,7 @@
  * <p>A commit that was acknowledged is covered if a report that included it had arrived before the promotion was ordered, or if its proxy
  * runs and has been in touch with control since {@link #TOUCH_MS} before the token of the promotion was raised. Only the commits of
  * proxies that died or lost touch before they had reported them are not covered. Without reports, the count of copies alone protects these.
+ * In histories with silent control members they are covered too: control waits for the copies that may be registered late.
  */
 final class SimulatedProxies {
     /** A proxy that has been in touch for this long has sent a watch request to the leader, even if some reports were lost. */
@@ -33,9 +36,15 @@
     private final ManualClock clock;
     private final Random random;
 
+    /** The control leader assumes for this long that a proxy which doesn't respond may acknowledge commits. */
+    private static final long RETENTION_MS = 10_000;
+
     /** Whether control uses reports and sends seals. */
     private final boolean reportsUsed;
 
+    /** Whether the check counts the commits of silent proxies too. */
+    private final boolean unreportedCovered;
+
     private final List<Proxy> proxies = new ArrayList<>();
     private final List<Response> responses = new ArrayList<>();
     private final List<Report> reportsInFlight = new ArrayList<>();
@@ -61,11 +70,19 @@
 
         private long sealedToken;
 
+        /** The dead process that this one has replaced, until control knows of the replacement. */
+        private Optional<Proxy> predecessor = Optional.empty();
+
         private Proxy(ManualClock clock) {
             tracker = new CommitTracker(clock);
         }
     }
 
+    /** Processes of which control knows that they have ended, and since when. */
+    private final List<Ended> ended = new ArrayList<>();
+
+    private record Ended(long reportedAtMs, long knownAtMs) {}
+
     /** A write that a proxy has sent to the primary. */
     record Write(Proxy proxy, SentCommit sent) {}
 
@@ -87,10 +104,11 @@
         }
     }
 
-    SimulatedProxies(ManualClock clock, Random random, boolean reportsUsed) {
+    SimulatedProxies(ManualClock clock, Random random, boolean reportsUsed, boolean unreportedCovered) {
         this.clock = clock;
         this.random = random;
         this.reportsUsed = reportsUsed;
+        this.unreportedCovered = unreportedCovered;
         for (int i = 0; i < PROXIES; i++) {
             proxies.add(new Proxy(clock));
         }
@@ -141,11 +159,30 @@
         reported = AcknowledgedCommits.NONE;
         seal = Optional.empty();
         reportsInFlight.clear();
-        proxies.forEach(proxy -> proxy.watchedAtMs = -WATCH_EXPIRY_MS - 1);
+        ended.clear();
+        proxies.forEach(proxy -> {
+            proxy.watchedAtMs = -WATCH_EXPIRY_MS - 1;
+            proxy.predecessor = Optional.empty();
+        });
+    }
+
+    /** All proxies lose touch, or die with what they have not reported. */
+    void silence() {
+        for (int i = 0; i < PROXIES; i++) {
+            if (random.nextBoolean()) {
+                proxies.get(i).inTouch = false;
+            } else {
+                replace(i);
+            }
+        }
     }
 
-    /** What the leader has received. */
-    CommitReports reports() {
+    /**
+     * What the leader has received.
+     *
+     * @param silentMembers the control members that don't respond
+     */
+    CommitReports reports(List<String> silentMembers) {
         if (!reportsUsed) {
             return CommitReports.NONE;
         }
@@ -154,7 +191,22 @@
                 && proxies.stream()
                         .filter(proxy -> clock.millis() - proxy.watchedAtMs <= WATCH_EXPIRY_MS)
                         .anyMatch(proxy -> proxy.sealedToken < seal.get().token());
-        return new CommitReports(reported, newLeader || unsealed);
+        return new CommitReports(reported, newLeader || unsealed, new SilentParties(silentProxies(), silentMembers));
+    }
+
+    private List<SilentProxy> silentProxies() {
+        long nowMs = clock.millis();
+        long token = seal.map(Seal::token).orElse(Long.MAX_VALUE);
+        List<SilentProxy> silent = new ArrayList<>();
+        Stream.concat(proxies.stream(), proxies.stream().flatMap(proxy -> proxy.predecessor.stream()))
+                .filter(proxy -> proxy.sealedToken < token && nowMs - proxy.watchedAtMs <= RETENTION_MS)
+                .forEach(proxy -> silent.add(new SilentProxy("watched", nowMs - proxy.watchedAtMs, 0)));
+        ended.forEach(process ->
+                silent.add(new SilentProxy("ended", nowMs - process.reportedAtMs(), nowMs - process.knownAtMs())));
+        if (nowMs - leaderSinceMs <= RETENTION_MS) {
+            silent.add(new SilentProxy("unknown", nowMs - leaderSinceMs, 0));
+        }
+        return silent;
     }
 
     /**
@@ -166,7 +218,8 @@
     Optional<String> onPromoted(long entries, long raisedAtMs, long orderedAtMs) {
         Optional<String> lost = acknowledged.stream()
                 .filter(commit -> commit.entries > entries)
-                .filter(commit -> commit.reportedAtMs < orderedAtMs || isCovered(commit.proxy, raisedAtMs))
+                .filter(commit ->
+                        unreportedCovered || commit.reportedAtMs < orderedAtMs || isCovered(commit.proxy, raisedAtMs))
                 .reduce((first, second) -> first.entries > second.entries ? first : second)
                 .map(commit -> commit.entries + " acknowledged at " + commit.atMs + " reported at "
                         + commit.reportedAtMs + " by proxy " + proxies.indexOf(commit.proxy) + " raised " + raisedAtMs
@@ -200,13 +253,21 @@
                 proxy.inTouch = !proxy.inTouch;
             }
             if (random.nextInt(300) == 0) {
-                proxy.dead = true;
-                proxies.set(i, new Proxy(clock));
-                proxies.get(i).outOfTouchAtMs = clock.millis();
+                replace(i);
             }
         }
     }
 
+    /** A proxy dies, and another process takes its place. */
+    private void replace(int index) {
+        Proxy dead = proxies.get(index);
+        dead.dead = true;
+        Proxy next = new Proxy(clock);
+        next.outOfTouchAtMs = clock.millis();
+        next.predecessor = Optional.of(dead);
+        proxies.set(index, next);
+    }
+
     private void deliverResponses() {
         for (Response response : List.copyOf(responses)) {
             if (response.dueAtMs() <= clock.millis()) {
@@ -242,6 +303,10 @@
             if (report.dueAtMs() <= clock.millis()) {
                 reportsInFlight.remove(report);
                 report.proxy().watchedAtMs = clock.millis();
+                report.proxy()
+                        .predecessor
+                        .ifPresent(process -> ended.add(new Ended(process.watchedAtMs, clock.millis())));
+                report.proxy().predecessor = Optional.empty();
                 report.proxy().sealedToken = report.sealedToken();
                 reported = AcknowledgedCommits.max(reported, report.commits());
                 acknowledged.stream()
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncFailoverHistoriesTest.java
@@ -151,6 +151,23 @@
         assertNoCommitLost(new Scenario(databases, true, promotionDelayMs, true, false, true, faults));
     }
 
+    /**
+     * The only copy of commits beside the primary waited for a silent control member with its first announcement, and the proxy that had
+     * acknowledged them stood still or had died before its next report: another instance was promoted (issue 56).
+     */
+    @ParameterizedTest
+    @CsvSource({"3, 300", "3, 1000", "4, 600"})
+    void noCommitOfASilentProxyIsLostWhenACopyRegistersLate(int databases, long promotionDelayMs) {
+        assertNoCommitLost(new Scenario(
+                databases,
+                true,
+                promotionDelayMs,
+                true,
+                false,
+                true,
+                Set.of(Faults.PROXIES, Faults.LONE_COPIES, Faults.SILENT_WITNESSES)));
+    }
+
     /** The histories with hidden copies lose commits that callers saw if control ignores what proxies report. */
     @ParameterizedTest
     @EnumSource(
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -4,9 +4,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.hornbeamspread.core.failover.SilentParties.SilentProxy;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.AskStatus;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.CheckProcessEnd;
 import org.hornbeamspread.core.failover.SyncFailoverEffect.Choose;
@@ -141,6 +143,77 @@
         assertThat(hasChoice(step(9_000))).isTrue();
     }
 
+    /**
+     * A database that joined and acknowledged alone waited for a silent control member, and the proxy that had acknowledged did not report: the
+     * count of copies lacked the database, and a replica without its commits was promoted (issue 56, copies of review case 11).
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "0, 1, 0, 1500, true",
+        "1, 0, 0, 1500, true",
+        "1, 1, 0, 2500, false",
+        "1, 1, 0, 2501, true",
+        "3, 1, 0, 2501, true",
+        "1, 2, 0, 3500, false",
+        "1, 2, 0, 3501, true",
+        "1, 1, 2500, 1500, false",
+        "1, 1, 2501, 1500, true"
+    })
+    void choiceAwaitsADatabaseOfWhichNobodyMayHaveTold(
+            int silentProxies, int silentMembers, long proxyEndedMs, long sinceProofMs, boolean chosen) {
+        raiseToken();
+        silent(silentProxies, silentMembers, proxyEndedMs);
+        advance(sinceProofMs - 1_001);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(hasChoice(step(sinceProofMs))).isEqualTo(chosen);
+        assertThat(failover.awaitsRegistration(snapshot(sinceProofMs, 0, false, false)))
+                .isEqualTo(!chosen);
+    }
+
+    /** The database that is waited for is the only one that holds the commits. */
+    @Test
+    void databaseThatRegistersMeanwhileIsChosen() {
+        raiseToken();
+        silent(1, 1, 0);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(1_001))).isFalse();
+        advance(1_600);
+        members = List.of(PRIMARY, A, B, new MemberView("joined", false, false, 0, false, 0));
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(hasChoice(step(2_601))).isFalse();
+        failover.onStatus("joined", replica(3, 75, 4));
+
+        assertThat(step(2_601)).contains(new Choose(1, "joined"));
+    }
+
+    /** A demoted primary has every acknowledged commit, whoever is silent. */
+    @Test
+    void demotedPrimaryShowsWhatSilentPartiesMayKnow() {
+        raiseToken();
+        silent(1, 1, 0);
+        failover.onStatus("a", replica(3, 60, 4));
+        failover.onDemoted("p", replica(3, 60, 0));
+
+        assertThat(hasChoice(step(1_001))).isTrue();
+    }
+
+    /** A proxy that falls silent after the order would hold up its repetition. */
+    @Test
+    void orderThatWasSentIsRepeatedWhoeverFallsSilent() {
+        chooseB();
+        assertThat(step(1_400)).contains(new Promote(1, "b"));
+        silent(1, 1, 0);
+        advance(300);
+        failover.onStatus("a", replica(3, 50, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(step(1_700)).contains(new Promote(1, "b"));
+    }
+
     /** A proxy that is asked to stop acknowledging may do so until it has reported. */
     @Test
     void commitReportsOfProxiesInTouchAreAwaited() {
@@ -1291,6 +1364,15 @@
         concluded = false;
     }
 
+    private void silent(int proxies, int controlMembers, long proxyEndedMs) {
+        commitReports = new CommitReports(
+                AcknowledgedCommits.NONE,
+                false,
+                new SilentParties(
+                        Collections.nCopies(proxies, new SilentProxy("proxy", 900, proxyEndedMs)),
+                        Collections.nCopies(controlMembers, "member")));
+    }
+
     private void chooseB() {
         raiseToken();
         step(1_100);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -84,6 +84,7 @@
     private final ProxyCountEstimate proxyCountEstimate = new ProxyCountEstimate(INITIAL_PROXY_COUNT);
     private long requestedAtMs;
     private long requestEpoch;
+    private boolean leaving;
 
     /** The seals in the latest view, by service. */
     private Map<String, Seal> seals = Map.of();
@@ -128,7 +129,19 @@
         executor.execute(this::poll);
     }
 
+    /** Ends polling with a last report, so that control waits for none. Called when no session is open and none is accepted any more. */
+    public void leave() {
+        leaving = true;
+        connection
+                .filter(PeerConnection::isOpen)
+                .ifPresent(open -> open.request(buildRequest(), RESPONSE_TIMEOUT)
+                        .exceptionally(error -> Envelope.getDefaultInstance()));
+    }
+
     private void poll() {
+        if (leaving) {
+            return;
+        }
         Optional<Endpoint> known = leader.or(this::nextPeer);
         if (known.isEmpty()) {
             executor.schedule(this::poll, MAX_BACKOFF_MS, TimeUnit.MILLISECONDS);
@@ -177,6 +190,7 @@
                 .setConfigurationVersion(configuration.version())
                 .setPositionsWanted(engine.needsSharedPositions())
                 .setAcceptsDeltas(true)
+                .setLeaving(leaving)
                 .setDraining(!engine.isReady() && engine.view().isLoaded());
         engine.primaryHealth().stream()
                 .filter(SystemWatch::isInformative)
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -155,6 +155,20 @@
         assertThat(drainingSinceMs).containsExactly("a", clock.millis() - 3_500);
     }
 
+    /** A proxy that ends after its last report must not watch as one that may acknowledge. */
+    @Test
+    void proxyThatLeavesReportsOnceMoreAndEndsPolling() throws InterruptedException {
+        SystemWatch watch = start();
+        nextWatch().answer(update(1));
+        Watch open = nextWatch();
+        assertThat(open.request().getLeaving()).isFalse();
+        group.next().execute(watch::leave);
+        assertThat(nextWatch().request().getLeaving()).isTrue();
+        open.answer(update(2));
+
+        assertThat(watches.poll(300, TimeUnit.MILLISECONDS)).isNull();
+    }
+
     /** A control member with a port out of range ended the polling of each proxy that tried to connect to it. */
     @ParameterizedTest
     @ValueSource(ints = {-1, 0, 65_536})
@@ -336,22 +350,15 @@
         return Envelopes.failureEnvelope(new FailureException(FailureType.NOT_LEADER, detail));
     }
 
-    private void start() {
+    private SystemWatch start() {
         Endpoint endpoint = Endpoint.newBuilder()
                 .setHost("127.0.0.1")
                 .setPort(leader.port())
                 .build();
-        new SystemWatch(
-                        "proxy-1",
-                        "domain",
-                        1,
-                        engine,
-                        transport,
-                        group.next(),
-                        () -> List.of(endpoint),
-                        clock,
-                        EventLog.NONE)
-                .start();
+        SystemWatch watch = new SystemWatch(
+                "proxy-1", "domain", 1, engine, transport, group.next(), () -> List.of(endpoint), clock, EventLog.NONE);
+        watch.start();
+        return watch;
     }
 
     private Watch nextWatch() throws InterruptedException {
