The age of a draining announcement is unknown to a leader that did not commit it

What callers saw: statements reached a draining primary up to 8.1 s after its announcement was acknowledged, with drain_ms 7 s (DRAIN). All control members had been killed 3.3 s after the acknowledgement and were back 0.3 s later, the replicas received nothing for 6.5 s, and a proxy had started again 3.5 s after the acknowledgement.

Cause: each member counted the age from when it applied the announcement itself. A member that starts again applies its whole log anew; one that stood still, or was cut off, applies it late; and while a machine is suspended its clock stands still. Each of them told a proxy that joined then an age that was too small.

Red with the change switched off: WatchingProxiesTest#ageOfADrainingAnnouncementUnderAnEarlierLeaderIsUnknown (2 cases) and #ageOfADrainingAnnouncementIsUnknownAfterASuspensionOfTheMachine, SessionEngineTest#aDrainingPrimaryOfUnknownAgeServesOnlyProxiesThatObservedItsAnnouncement (1 of 3 cases).

Change: a leader knows the time of what was committed under its own lead, since it applies an announcement before it acknowledges it. What it finds when it begins to lead, and everything once its clock has jumped, has an unknown age (DrainingInstance.age_unknown). A proxy that observed the announcement before keeps its own time; for any other the limit of a draining primary is over.

Weighed: the wall clock of the leader in the committed command (steps of the time of day, up to 12 s, make an age too small; it helps only proxies that start after a change of leaders, and for 4 s at most); the follower's own time (a lower bound, see above).

Version skew: an earlier proxy ignores the new field and counts from the age as before, which is then 0; an earlier member sends no such field, and proxies count as before.

WatchingProxiesTest#ageOfADrainingAnnouncementIsSentToProxiesThatJoinLater expected that a new leader sends the age that it had observed as a follower. That expectation was the fault: a follower may have applied it late. The test keeps the age within one lead; the case of a new leader is in the new test, which allows no age at all.

--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -177,6 +177,7 @@
         if (currentEpoch != clockEpoch) {
             clockEpoch = currentEpoch;
             proofs.clear();
+            draining.onClockJump();
         }
     }
 
@@ -187,6 +188,7 @@
         commits.onLeadershipGained();
         reporters.onLeadershipGained();
         silentMembers.onLeadershipGained();
+        draining.onLeadershipGained();
     }
 
     /** Handles a watch request. Returns whether a report under a seal came with it. */
@@ -236,6 +238,7 @@
         visibleInstances = List.copyOf(newVisibleInstances);
         controlMembers = List.copyOf(members);
         silentMembers.update(members);
+        updateClockEpoch();
         draining.update(newState.getInstancesList());
         List<Endpoint> peers = members.stream()
                 .map(ControlMember::getPeer)
@@ -347,6 +350,7 @@
         update.setLeaderTerm(leaderTerm).setProxies(watcher.sentProxyCount).setHeldMs(heldMs);
         addPositions(update);
         if (update.getChanged()) {
+            updateClockEpoch();
             update.addAllDraining(draining.toWire());
         }
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -431,7 +431,6 @@
                 STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build();
         proxies.publish(state, List.of(draining), List.of());
         advance(3_000);
-        proxies.onLeadershipGained(4);
         proxies.publish(state, List.of(draining), List.of());
         advance(1_000);
         proxies.watch(watchRequest("late").build(), answers::add);
@@ -448,6 +447,49 @@
         assertThat(lastUpdate().getDraining(0).getAgeMs()).isEqualTo(0);
     }
 
+    /**
+     * A member counted the age of what it had applied late, after a restart or standing still, and a proxy that started then sent to a draining
+     * primary past its limit (issue 56, copies of review case 15).
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void ageOfADrainingAnnouncementUnderAnEarlierLeaderIsUnknown(boolean appliedBefore) {
+        RegisteredInstance draining = RegisteredInstance.newBuilder()
+                .setInstanceId("b")
+                .setBornMs(5)
+                .setDraining(true)
+                .build();
+        ControlState state =
+                STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build();
+        if (appliedBefore) {
+            proxies.publish(state, List.of(draining), List.of());
+        }
+        proxies.onLeadershipGained(4);
+        proxies.publish(state, List.of(draining), List.of());
+        proxies.publish(state, List.of(draining), List.of());
+        proxies.watch(watchRequest("late").build(), answers::add);
+
+        assertThat(lastUpdate().getDrainingList())
+                .containsExactly(DrainingInstance.newBuilder()
+                        .setInstanceId("b")
+                        .setAgeUnknown(true)
+                        .build());
+    }
+
+    /** While its machine is suspended, the clock of a leader stands still. */
+    @Test
+    void ageOfADrainingAnnouncementIsUnknownAfterASuspensionOfTheMachine() {
+        RegisteredInstance draining = RegisteredInstance.newBuilder()
+                .setInstanceId("b")
+                .setDraining(true)
+                .build();
+        proxies.publish(STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build(), List.of(draining), List.of());
+        timeOfDay.advance(Duration.ofSeconds(4));
+        proxies.watch(watchRequest("late").build(), answers::add);
+
+        assertThat(lastUpdate().getDraining(0).getAgeUnknown()).isTrue();
+    }
+
     private static WatchSystem.Builder watchRequest(String proxyId) {
         return WatchSystem.newBuilder().setProxyId(proxyId);
     }
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
@@ -135,7 +135,7 @@
         notPrimaryUntilMs.clear();
         Map<String, DatabaseInstance> currentInstances = new HashMap<>();
         next.instances().forEach(instance -> currentInstances.put(instance.instanceId(), instance));
-        next.drainingSinceMs().forEach((id, sinceMs) -> drainingSinceMs.merge(id, sinceMs, Math::min));
+        next.drainingSinceMs().forEach(this::onDrainingSince);
         drainingSinceMs.keySet().removeIf(id -> !currentInstances.containsKey(id));
         for (InstanceConnectionPool pool : List.copyOf(pools.values())) {
             DatabaseInstance current = currentInstances.get(pool.instance().instanceId());
@@ -157,6 +157,15 @@
         retryParked();
     }
 
+    /** A proxy that observed the announcement itself knows the time, also if a later leader of control doesn't; for any other the limit is over. */
+    private void onDrainingSince(String instanceId, long sinceMs) {
+        if (sinceMs == SystemView.UNKNOWN_TIME) {
+            drainingSinceMs.putIfAbsent(instanceId, sinceMs);
+        } else {
+            drainingSinceMs.merge(instanceId, sinceMs, Math::min);
+        }
+    }
+
     /** Records the response of an instance that it is not the primary. */
     void onNotPrimary(String instanceId) {
         Long previousUntilMs = notPrimaryUntilMs.put(instanceId, clock.millis() + NOT_PRIMARY_BACKOFF_MS);
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemView.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemView.java
@@ -16,7 +16,8 @@
  * @param instances the instances that announced themselves
  * @param promotedIds the instance that control promoted last, by service
  * @param proxyCount number of proxies that share the connections
- * @param drainingSinceMs when draining instances announced that, as far as control has sent it
+ * @param drainingSinceMs when draining instances announced that, as far as control has sent it; {@link #UNKNOWN_TIME} if control does
+ *     not know it
  */
 public record SystemView(
         RouteConfiguration configuration,
@@ -25,6 +26,9 @@
         int proxyCount,
         Map<String, Long> drainingSinceMs,
         Map<String, Route> routesByDatabase) {
+    /** A time that may be any in the past. */
+    public static final long UNKNOWN_TIME = Long.MIN_VALUE / 2;
+
     /** The view of a proxy that has not received any update from control yet. */
     public static final SystemView NONE = of(RouteConfiguration.NONE, List.of(), Map.of(), 1);
 
--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/SystemWatch.java
@@ -342,7 +342,9 @@
                 proxyCount);
         Map<String, Long> drainingSinceMs = new TreeMap<>();
         update.getDrainingList()
-                .forEach(draining -> drainingSinceMs.put(draining.getInstanceId(), sentAtMs - draining.getAgeMs()));
+                .forEach(draining -> drainingSinceMs.put(
+                        draining.getInstanceId(),
+                        draining.getAgeUnknown() ? SystemView.UNKNOWN_TIME : sentAtMs - draining.getAgeMs()));
         engine.onView(SystemView.of(configuration, instances, promoted, proxyCount, drainingSinceMs));
         seals = new TreeMap<>();
         update.getSealedList()
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -512,6 +512,28 @@
         assertThat(harness.primary.executedStatements).hasSize(served ? 1 : 0);
     }
 
+    /**
+     * After a restart of all control members, the age of an announcement is not known: a proxy that had not observed it sent past the limit
+     * (issue 56). One that had counts on.
+     */
+    @ParameterizedTest
+    @CsvSource({"false, 100, false", "true, 3900, true", "true, 4100, false"})
+    void aDrainingPrimaryOfUnknownAgeServesOnlyProxiesThatObservedItsAnnouncement(
+            boolean observed, long sentAfterMs, boolean served) {
+        harness.run(10_000);
+        if (observed) {
+            harness.announceDrainingPrimary(Map.of(harness.primary.id, harness.clock.millis()));
+        }
+        harness.run(100);
+        harness.announceDrainingPrimary(Map.of(harness.primary.id, SystemView.UNKNOWN_TIME));
+        harness.run(sentAfterMs - 100);
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(2_000);
+
+        assertThat(client.lastReply().isSuccess()).isEqualTo(served);
+        assertThat(harness.primary.executedStatements).hasSize(served ? 1 : 0);
+    }
+
     /** The COMMIT was answered with IN_DOUBT, since the proxy closed the connection below it (review case 14). */
     @ParameterizedTest
     @CsvSource({"2950, 300", "2999, 700"})
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SystemWatchTest.java
@@ -138,21 +138,27 @@
         assertThat(instanceIds()).containsExactly("a", "c").inOrder();
     }
 
-    /** A late proxy counted the time of a draining primary from its own start (review case 15). */
-    @Test
-    void timeOfADrainingAnnouncementIsThatOfControl() throws InterruptedException {
+    /**
+     * A late proxy counted the time of a draining primary from its own start (review case 15), or from that of a control member that had started
+     * again (issue 56).
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void timeOfADrainingAnnouncementIsThatOfControl(boolean unknown) throws InterruptedException {
         start();
         nextWatch()
                 .answer(update(1)
                         .addInstances(instance("a", 1))
-                        .addDraining(
-                                DrainingInstance.newBuilder().setInstanceId("a").setAgeMs(3_500)));
+                        .addDraining(DrainingInstance.newBuilder()
+                                .setInstanceId("a")
+                                .setAgeMs(3_500)
+                                .setAgeUnknown(unknown)));
         nextWatch();
         Map<String, Long> drainingSinceMs = CompletableFuture.supplyAsync(
                         () -> engine.view().drainingSinceMs(), group.next())
                 .join();
 
-        assertThat(drainingSinceMs).containsExactly("a", clock.millis() - 3_500);
+        assertThat(drainingSinceMs).containsExactly("a", unknown ? SystemView.UNKNOWN_TIME : clock.millis() - 3_500);
     }
 
     /** A proxy that ends after its last report must not watch as one that may acknowledge. */
