A proxy forgets that an instance was draining once it is announced as ready

What callers would see: writes of a service refused by a proxy although its primary works: an instance had been draining, was announced as ready again under the same id (by itself after a restart, or since another writer had announced the draining), and leads later.

Cause: StatementRouter kept the time of the first announcement for as long as the instance was in the view, and compared it with the limit of a draining primary whether the instance was draining or not. Found by reading, on a path beside the age of announcements.

Evidence: SessionEngineTest#anInstanceThatDrainsNoMoreServesAgain, red before.

--- a/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
+++ b/proxy/src/main/java/org/hornbeamspread/proxy/session/StatementRouter.java
@@ -136,7 +136,10 @@
         Map<String, DatabaseInstance> currentInstances = new HashMap<>();
         next.instances().forEach(instance -> currentInstances.put(instance.instanceId(), instance));
         next.drainingSinceMs().forEach(this::onDrainingSince);
-        drainingSinceMs.keySet().removeIf(id -> !currentInstances.containsKey(id));
+        drainingSinceMs
+                .keySet()
+                .removeIf(id -> !currentInstances.containsKey(id)
+                        || !currentInstances.get(id).draining());
         for (InstanceConnectionPool pool : List.copyOf(pools.values())) {
             DatabaseInstance current = currentInstances.get(pool.instance().instanceId());
             boolean sameIncarnation = current != null
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/EngineHarness.java
@@ -129,6 +129,11 @@
         engine.onSeals(Map.of(), Map.of(FakeDatabase.SERVICE, token));
     }
 
+    /** Publishes the view in which no instance is draining. */
+    void announceReadyPrimary() {
+        engine.onView(view);
+    }
+
     /**
      * Delivers a view in which the primary is draining.
      *
--- a/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
+++ b/proxy/src/test/java/org/hornbeamspread/proxy/session/SessionEngineTest.java
@@ -534,6 +534,19 @@
         assertThat(harness.primary.executedStatements).hasSize(served ? 1 : 0);
     }
 
+    /** An instance that had drained, and was announced as ready again, led without getting any write: its time to drain was over. */
+    @Test
+    void anInstanceThatDrainsNoMoreServesAgain() {
+        harness.run(10_000);
+        harness.announceDrainingPrimary(Map.of());
+        harness.run(4_100);
+        harness.announceReadyPrimary();
+        Client client = harness.open(EngineHarness.PRIMARY_ROUTE).send("w1", new Write("item", "5"));
+        harness.run(2_000);
+
+        assertThat(client.lastReply().isSuccess()).isTrue();
+    }
+
     /** The COMMIT was answered with IN_DOUBT, since the proxy closed the connection below it (review case 14). */
     @ParameterizedTest
     @CsvSource({"2950, 300", "2999, 700"})
