A choice that was abandoned before anything was ordered leaves no order to wait for

Cause: a choice was withdrawn before its order, because a replica turned out to be ahead. The next token counted that choice as one whose order may still be carried out, so that for 3 s after the instance that was chosen instead led, the other replicas stayed paused. Nothing was acknowledged, and then the draining primary was replaced again before they had been resumed.

SyncGroupFailoverTest#replicasAreResumedOnceTheInstanceLeadsThatReplacedAnUnorderedChoice, red without the fix (1 of 2 cases).

Fix: an unfinished promotion of this leader's own token, under which no order was sent and before which none was pending, leaves none pending. The seal stays in force between the tokens as before.

--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -488,8 +488,10 @@
     private List<SyncFailoverEffect> raiseToken(GroupSnapshot snapshot) {
         commandsSentAtMs.clear();
         pauses.dropUnsentResumes();
-        earlierPromotionPending =
+        boolean unfinished =
                 snapshot.token() > 0 && (!snapshot.concluded() || isPrimaryUnsettled(snapshot, clock.millis()));
+        boolean nothingOrdered = snapshot.token() == ownToken && !promotionRequested && !earlierPromotionPending;
+        earlierPromotionPending = unfinished && (snapshot.concluded() || !nothingOrdered);
         settlesPrimary = false;
         Set<String> unsettled = new HashSet<>();
         if (earlierPromotionPending) {
@@ -499,7 +501,7 @@
         }
         rejectedCandidate = Optional.empty();
         reachableAtTokenRaise = false;
-        seal.reset(snapshot, earlierPromotionPending);
+        seal.reset(snapshot, unfinished);
         fencing.reset(unsettled);
         promotionResult = Optional.empty();
         promotionRequested = false;
--- a/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/failover/SyncGroupFailoverTest.java
@@ -656,6 +656,50 @@
         assertThat(step(0)).isEmpty();
     }
 
+    /**
+     * A choice was abandoned before anything was ordered, and the replicas stayed paused for 3 s after the instance that was chosen instead
+     * led: no write was acknowledged, and a draining primary ended with commits that only its log had (issue 56, the day of review case 15).
+     */
+    @ParameterizedTest
+    @CsvSource({"false, true", "true, false"})
+    void replicasAreResumedOnceTheInstanceLeadsThatReplacedAnUnorderedChoice(boolean ordered, boolean resumed) {
+        chooseB();
+        if (ordered) {
+            assertThat(step(1_400)).contains(new Promote(1, "b"));
+            advance(1_600);
+            members = List.of(PRIMARY, A, B, new MemberView("c", false, false, 0, false, 0));
+            assertThat(step(3_000)).containsExactly(new RaiseToken(1, Set.of("b")));
+            members = List.of(PRIMARY, A, B);
+        } else {
+            failover.onStatus("a", replica(3, 70, 4));
+            assertThat(step(1_400)).containsExactly(new RaiseToken(1));
+        }
+        failover.onLogCommitEnded(true);
+        token = 2;
+        chosenId = Optional.empty();
+        unsettledChoices = ordered ? Set.of("b") : Set.of();
+        step(1_500);
+        advance(ordered ? 3_100 : 0);
+        failover.onStatus("a", replica(3, 70, 4));
+        failover.onStatus("b", replica(3, 60, 4));
+        assertThat(step(1_500)).containsExactly(new Choose(2, "a"));
+        failover.onLogCommitEnded(true);
+        chosenId = Optional.of("a");
+        assertThat(step(1_500)).contains(new Promote(2, "a"));
+        failover.onPromotionResult(2, true);
+        step(1_500);
+        failover.onLogCommitEnded(true);
+        concluded = true;
+        members = List.of(new MemberView("a", false, true, 50, false, 0), B);
+        observedPrimaryId = Optional.of("a");
+        advance(600);
+        failover.onStatus("a", new ReplicaStatus(true, 4, new LogPosition(4, 70), 0));
+        failover.onStatus("b", replica(3, 60, 4));
+
+        assertThat(step(50).contains(new CommitResumes(2, List.of(new PendingResume("b", 0, 1)))))
+                .isEqualTo(resumed);
+    }
+
     /**
      * Another writer announced the promoted instance as the primary before its promotion had taken effect. The other replica was resumed, and
      * commits that it acknowledged for the old primary were lost. Only a response of the instance shows that it leads.
