Processes of proxies are forgotten also while no promotion is in progress; names and comments of the read-through

CommitReporters dropped what had expired only when a promotion asked, so that a leader of many weeks would have remembered each process of a proxy that ever watched it. Found in the read-through; CommitReportersTest#processesOfLongAgoAreForgottenWithoutAPromotion.

--- a/control/src/main/java/org/hornbeamspread/control/routes/CommitReporters.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/CommitReporters.java
@@ -55,7 +55,11 @@
      */
     void onRequest(String proxyId, long incarnation, Map<String, Long> sealedTokens, boolean leaves) {
         Reporter previous = reporters.remove(proxyId);
+        if (previous == null) {
+            dropExpired();
+        }
         if (previous != null && previous.incarnation() != incarnation) {
+            dropExpired();
             ended.add(new Ended(proxyId, previous.requestedAtMs(), clock.millis()));
         }
         if (!leaves) {
@@ -71,9 +75,8 @@
 
     /** The proxies that may have acknowledged commits of a service which they have not reported under a seal. */
     List<SilentProxy> silent(String service, long token) {
+        dropExpired();
         long nowMs = clock.millis();
-        reporters.values().removeIf(reporter -> nowMs - reporter.requestedAtMs() > RETENTION_MS);
-        ended.removeIf(process -> nowMs - process.endKnownAtMs() > RETENTION_MS);
         Stream<SilentProxy> known = reporters.entrySet().stream()
                 .filter(entry -> !hasReported(entry.getKey(), service, token))
                 .map(entry ->
@@ -86,4 +89,15 @@
                 : Stream.empty();
         return Stream.of(known, replaced, unknown).flatMap(proxies -> proxies).toList();
     }
+
+    private void dropExpired() {
+        long nowMs = clock.millis();
+        reporters.values().removeIf(reporter -> nowMs - reporter.requestedAtMs() > RETENTION_MS);
+        ended.removeIf(process -> nowMs - process.endKnownAtMs() > RETENTION_MS);
+    }
+
+    /** How many processes are remembered, for tests of the bound. */
+    int size() {
+        return reporters.size() + ended.size();
+    }
 }
--- a/control/src/test/java/org/hornbeamspread/control/routes/CommitReportersTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/CommitReportersTest.java
@@ -62,6 +62,18 @@
         assertThat(reporters.silent("ledger", 5)).containsExactly(new SilentProxy("p1", 900, 200));
     }
 
+    /** Between promotions, a leader of many weeks would remember each process that ever watched it. */
+    @Test
+    void processesOfLongAgoAreForgottenWithoutAPromotion() {
+        for (int i = 0; i < 100; i++) {
+            reporters.onRequest("p1", INCARNATION + i, Map.of(), false);
+            reporters.onRequest("scaled-in-" + i, INCARNATION, Map.of(), false);
+            advance(5_000);
+        }
+
+        assertThat(reporters.size()).isAtMost(8);
+    }
+
     /** A rolling restart of all proxies must not delay promotions. */
     @Test
     void proxyThatLeftWithALastReportIsNotSilent() {
@@ -83,7 +95,7 @@
 
         List<SilentProxy> silent = reporters.silent("ledger", 5);
         assertThat(silent).hasSize(1);
-        assertThat(silent.get(0).mayHaveRunMs()).isEqualTo(0);
+        assertThat(silent.get(0).endedAgoMs()).isEqualTo(0);
         assertThat(silent.get(0).reportAgeMs()).isEqualTo(1_000);
     }
 
--- a/core/src/main/java/org/hornbeamspread/core/failover/RegistrationWait.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/RegistrationWait.java
@@ -41,7 +41,7 @@
         }
         long sinceProofMs = clock.millis() - Math.max(leaderSinceMs, lastPrimaryProofAtMs);
         long sinceProxyMs = silent.proxies().stream()
-                .mapToLong(SilentParties.SilentProxy::mayHaveRunMs)
+                .mapToLong(SilentParties.SilentProxy::endedAgoMs)
                 .min()
                 .getAsLong();
         return Math.max(sinceProofMs, sinceProxyMs)
--- a/core/src/main/java/org/hornbeamspread/core/failover/SilentParties.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SilentParties.java
@@ -24,7 +24,7 @@
      *
      * @param proxyId its id, or what is known of it
      * @param reportAgeMs time since its last report
-     * @param mayHaveRunMs time since it is known to have ended; 0 if it may run, cut off from control
+     * @param endedAgoMs time since it is known to have ended; 0 if it may run, cut off from control
      */
-    public record SilentProxy(String proxyId, long reportAgeMs, long mayHaveRunMs) {}
+    public record SilentProxy(String proxyId, long reportAgeMs, long endedAgoMs) {}
 }
--- a/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/SyncGroupFailover.java
@@ -41,7 +41,8 @@
  *       because the primary and a replica hold each of them. A replica that holds the whole log of a demoted primary does too.
  *       A pause ends when the replica restarts and when any instance is promoted, also by an earlier request that is carried
  *       out late; therefore only recent statuses count. A log that was lost with a database counts as a member that does not
- *       respond, until {@link ReplicaCoverage} shows that no acknowledged commit depends on it.
+ *       respond, until {@link ReplicaCoverage} shows that no acknowledged commit depends on it. Where proxies and control members are
+ *       silent, a database that is about to register is waited for ({@link RegistrationWait}).
  *   <li>The chosen candidate is committed to the log, then its promotion is requested from the platform. The request is
  *       repeated until it has a definite result, as long as the candidate still holds every acknowledged commit: a request
  *       without a result may be carried out much later. Until there is a result, no replica is resumed.
