--- a/control/src/main/java/org/hornbeamspread/control/routes/CommitReporters.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/CommitReporters.java
@@ -55,11 +55,10 @@
      */
     void onRequest(String proxyId, long incarnation, Map<String, Long> sealedTokens, boolean leaves) {
         Reporter previous = reporters.remove(proxyId);
-        if (previous == null) {
+        if (previous == null || previous.incarnation() != incarnation) {
             dropExpired();
         }
         if (previous != null && previous.incarnation() != incarnation) {
-            dropExpired();
             ended.add(new Ended(proxyId, previous.requestedAtMs(), clock.millis()));
         }
         if (!leaves) {
--- a/control/src/main/java/org/hornbeamspread/control/routes/DrainingInstances.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/DrainingInstances.java
@@ -29,6 +29,7 @@
     }
 
     void onLeadershipGained() {
+        sinceMs.clear();
         leadBegins = true;
     }
 
@@ -44,8 +45,7 @@
         for (RegisteredInstance instance : registered) {
             if (instance.getDraining()) {
                 Incarnation incarnation = new Incarnation(instance.getInstanceId(), instance.getBornMs());
-                boolean known = !leadBegins && sinceMs.containsKey(incarnation);
-                next.put(incarnation, known ? sinceMs.get(incarnation) : observedAtMs);
+                next.put(incarnation, sinceMs.getOrDefault(incarnation, observedAtMs));
             }
         }
         leadBegins = false;
--- a/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/WatchingProxies.java
@@ -350,7 +350,6 @@
         update.setLeaderTerm(leaderTerm).setProxies(watcher.sentProxyCount).setHeldMs(heldMs);
         addPositions(update);
         if (update.getChanged()) {
-            updateClockEpoch();
             update.addAllDraining(draining.toWire());
         }
         if (request.getConfigurationVersion() < state.getRoutes().getVersion()) {
--- a/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/WatchingProxiesTest.java
@@ -422,11 +422,7 @@
     /** A proxy that started late counted from its own start, and sent to a draining primary past its limit (review case 15). */
     @Test
     void ageOfADrainingAnnouncementIsSentToProxiesThatJoinLater() {
-        RegisteredInstance draining = RegisteredInstance.newBuilder()
-                .setInstanceId("b")
-                .setBornMs(5)
-                .setDraining(true)
-                .build();
+        RegisteredInstance draining = drainingInstance();
         ControlState state =
                 STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build();
         proxies.publish(state, List.of(draining), List.of());
@@ -454,11 +450,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void ageOfADrainingAnnouncementUnderAnEarlierLeaderIsUnknown(boolean appliedBefore) {
-        RegisteredInstance draining = RegisteredInstance.newBuilder()
-                .setInstanceId("b")
-                .setBornMs(5)
-                .setDraining(true)
-                .build();
+        RegisteredInstance draining = drainingInstance();
         ControlState state =
                 STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build();
         if (appliedBefore) {
@@ -479,10 +471,7 @@
     /** While its machine is suspended, the clock of a leader stands still. */
     @Test
     void ageOfADrainingAnnouncementIsUnknownAfterASuspensionOfTheMachine() {
-        RegisteredInstance draining = RegisteredInstance.newBuilder()
-                .setInstanceId("b")
-                .setDraining(true)
-                .build();
+        RegisteredInstance draining = drainingInstance();
         proxies.publish(STATE_WITH_VERSION_7.toBuilder().addInstances(draining).build(), List.of(draining), List.of());
         timeOfDay.advance(Duration.ofSeconds(4));
         proxies.watch(watchRequest("late").build(), answers::add);
@@ -490,6 +479,14 @@
         assertThat(lastUpdate().getDraining(0).getAgeUnknown()).isTrue();
     }
 
+    private static RegisteredInstance drainingInstance() {
+        return RegisteredInstance.newBuilder()
+                .setInstanceId("b")
+                .setBornMs(5)
+                .setDraining(true)
+                .build();
+    }
+
     private static WatchSystem.Builder watchRequest(String proxyId) {
         return WatchSystem.newBuilder().setProxyId(proxyId);
     }
--- a/core/src/main/java/org/hornbeamspread/core/failover/RegistrationWait.java
+++ b/core/src/main/java/org/hornbeamspread/core/failover/RegistrationWait.java
@@ -12,13 +12,13 @@
  */
 final class RegistrationWait {
     /** Databases announce themselves at this interval. */
-    static final long ANNOUNCEMENT_INTERVAL_MS = 1_200;
+    private static final long ANNOUNCEMENT_INTERVAL_MS = 1_200;
 
     /** A database calls the next control member after this time without a response. */
-    static final long ANNOUNCEMENT_TIMEOUT_MS = 1_000;
+    private static final long ANNOUNCEMENT_TIMEOUT_MS = 1_000;
 
     /** The primary may have acknowledged commits for this long after its latest proof: the interval of proofs and the latency between regions. */
-    static final long PROOF_INTERVAL_MS = 300;
+    private static final long PROOF_INTERVAL_MS = 300;
 
     private final Clock clock;
 
