Cases 1 to 5 of the review: values for the placeholders that the template has gained

review/1 to 5 ended with 2 in every run: each control process ended with status 1, since the stand-in fills in a fixed list of placeholders and deploy/settings.template has gained five with workspaces (bounds.strict_revoke, revoke_ms, quota_window_s, quota_overshoot, quota_slack). What the stand-in doesn't know stays as text, and that is no number. Nothing else in the cases changes.

--- a/review/standin/Deployment.java
+++ b/review/standin/Deployment.java
@@ -227,6 +227,12 @@
         fields.put("{{cloud_api.address}}", proxy ? "" : host(1) + ":" + platformPort);
         fields.put("{{fault_tolerance.machines}}", "1");
         fields.put("{{bounds.grace_s}}", "6");
+        // Bounds that the site doesn't name are empty.
+        fields.put("{{bounds.strict_revoke}}", "");
+        fields.put("{{bounds.revoke_ms}}", "");
+        fields.put("{{bounds.quota_window_s}}", "");
+        fields.put("{{bounds.quota_overshoot}}", "");
+        fields.put("{{bounds.quota_slack}}", "");
         String text = Files.readString(root.resolve("deploy/settings.template"));
         for (Map.Entry<String, String> field : fields.entrySet()) {
             text = text.replace(field.getKey(), field.getValue());
