A member without a vote that lost its disk is recorded before it is promoted

Cause: a member grants votes once its own log holds its incarnation. For a voter that lost its disk two records are written, without and with its vote. For a member without a vote the first one was left out, so the record that promotes it was the first that holds its incarnation: the others commit it, it counts for the majority, and it can't vote until it has received it. The leader lost in that moment leaves nobody to elect. Now the new incarnation is recorded first; the promotion requires that the member holds all committed records, and so that one.

VoterSelectionTest, two rows: red before (promoted in place of recorded). ConsensusInterleavingTest, MemberReplacementTest and SimulatedLinksTest green.

--- a/core/src/main/java/org/hornbeamspread/core/consensus/VoterSelection.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/VoterSelection.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 
 /**
- * Decides the next change of one voter.
+ * Decides the next change of the membership, of at most one voter.
  *
- * <p>A voter that lost its disk loses its vote. A standby, which is a caught-up member without a vote, is promoted while
+ * <p>A member that lost its disk is recorded without a vote. A standby, which is a caught-up member without a vote, is promoted while
  * there are fewer voters than required. A voter that is silent or departs is demoted only while a standby waits and the other
  * voters that respond are a majority without it; the standby is then promoted as soon as the demotion is committed.
  *
@@ -29,16 +29,21 @@
 
     /** The change that brings the membership one voter closer to the policy. */
     Optional<Change> nextChange() {
-        return demotionAfterDiskLoss()
+        return recordAfterDiskLoss()
                 .or(this::promotion)
                 .or(this::substitutionOfDeparting)
                 .or(this::substitutionOfSilent);
     }
 
-    private Optional<Change> demotionAfterDiskLoss() {
+    /**
+     * A member grants votes once its own log contains its incarnation. A standby is therefore recorded with its new incarnation
+     * before it is promoted: otherwise it could be needed for a majority before it has received the record that admits it.
+     */
+    private Optional<Change> recordAfterDiskLoss() {
         return statuses.stream()
-                .filter(status -> isResponsive(status) && status.member().voting())
+                .filter(this::isResponsive)
                 .filter(status -> status.member().incarnation() != status.incarnation())
+                .filter(status -> status.member().voting() || !status.isNew())
                 .findFirst()
                 .map(status -> change(status.responding(false), false));
     }
@@ -107,6 +112,11 @@
      */
     record MemberStatus(
             Member member, long incarnation, long silentMs, boolean caughtUp, boolean departing, boolean heldBack) {
+        /** Whether no incarnation of the member has been recorded. Such a member grants votes in any. */
+        private boolean isNew() {
+            return member.incarnation() == 0;
+        }
+
         /** The member with the incarnation that responds. */
         private Member responding(boolean voting) {
             return new Member(member.memberId(), incarnation, voting);
@@ -119,10 +129,10 @@
     }
 
     /**
-     * A change of one voter.
+     * A change of one member.
      *
      * @param membership the membership after the change
-     * @param memberId the member whose vote changes
+     * @param memberId the member whose vote or incarnation changes
      * @param substitutesSilent whether the member loses its vote because it is silent
      */
     record Change(Membership membership, String memberId, boolean substitutesSilent) {}
--- a/core/src/test/java/org/hornbeamspread/core/consensus/VoterSelectionTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/VoterSelectionTest.java
@@ -11,8 +11,8 @@
 final class VoterSelectionTest {
     /**
      * Each member is a letter and its silence in milliseconds: V a voter, L a voter that lost its disk, D a voter that departs, S
-     * a caught-up standby, H a standby that is held back, B a member that has not caught up. The change is the position of the
-     * member, and whether it votes afterwards.
+     * a caught-up standby, N one that lost its disk, J one that has just joined, H one that is held back, B a member that has not
+     * caught up. The change is the position of the member, and whether it gains or loses its vote or is recorded without one.
      */
     @ParameterizedTest
     @CsvSource({
@@ -41,7 +41,12 @@
         "3, V0 V0 V0 S0, none",
         // A lost disk comes first.
         "3, V0 L0 V3000 S0, 1 demoted",
-        "3, V0 L900 V0 S0, none"
+        "3, V0 L900 V0 S0, none",
+        // A standby that lost its disk could not vote until it receives the record that promotes it.
+        "3, V0 V0 N0, 2 recorded",
+        "3, V0 V0 N0 S0, 2 recorded",
+        "3, V0 V0 N900 S0, 3 promoted",
+        "3, V0 V0 J0, 2 promoted"
     })
     void changesOneVoterAtATime(int requiredVoters, String members, String expected) {
         List<VoterSelection.MemberStatus> statuses = new ArrayList<>();
@@ -52,18 +57,24 @@
                 statuses.stream().map(VoterSelection.MemberStatus::member).toList());
         String actual = new VoterSelection(VoterPolicy.required(requiredVoters), membership, statuses, 500)
                 .nextChange()
-                .map(change -> change.memberId().substring(1)
-                        + (change.membership().voters().size()
-                                        > membership.voters().size()
-                                ? " promoted"
-                                : " demoted"))
+                .map(change -> change.memberId().substring(1) + " " + describe(membership, change.membership()))
                 .orElse("none");
         assertThat(actual).isEqualTo(expected);
     }
 
+    private static String describe(Membership before, Membership after) {
+        int gained = after.voters().size() - before.voters().size();
+        return gained > 0 ? "promoted" : gained < 0 ? "demoted" : "recorded";
+    }
+
     private static VoterSelection.MemberStatus status(String id, char kind, long silentMs) {
         boolean voting = kind == 'V' || kind == 'L' || kind == 'D';
         return new VoterSelection.MemberStatus(
-                new Member(id, 1, voting), kind == 'L' ? 2 : 1, silentMs, kind != 'B', kind == 'D', kind == 'H');
+                new Member(id, kind == 'J' ? 0 : 1, voting),
+                kind == 'L' || kind == 'N' ? 2 : 1,
+                silentMs,
+                kind != 'B',
+                kind == 'D',
+                kind == 'H');
     }
 }
