--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusLoop.java
@@ -101,7 +101,7 @@
         this.node = new ConsensusNode(
                 settings.memberId(),
                 settings.members().stream().map(ControlMember::getMemberId).toList(),
-                settings.mayBootstrap(),
+                settings.bootstrapMode(),
                 stored,
                 ConsensusParameters.of(
                         settings.electionTimeout().toMillis(),
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import org.hornbeamspread.core.consensus.BootstrapMode;
 import org.hornbeamspread.core.consensus.VoterPolicy;
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
@@ -22,7 +23,7 @@
  * @param snapshotIntervalRecords the number of applied records between two snapshots
  * @param budgetBytes the number of bytes of applied records between two snapshots, and the limit on the bytes of uncommitted
  *     records; keeps the log in memory and on disk small when records are large
- * @param mayBootstrap false for a member that joins a cluster which other members bootstrap or have bootstrapped
+ * @param bootstrapMode how this member takes part in the bootstrap of the log
  * @param voterPolicy how many members vote
  */
 public record ConsensusSettings(
@@ -34,7 +35,7 @@
         Duration heartbeatInterval,
         int snapshotIntervalRecords,
         long budgetBytes,
-        boolean mayBootstrap,
+        BootstrapMode bootstrapMode,
         VoterPolicy voterPolicy) {
     private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(500);
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(100);
@@ -73,21 +74,21 @@
                 HEARTBEAT_INTERVAL,
                 SNAPSHOT_INTERVAL_RECORDS,
                 budgetBytes(Runtime.getRuntime().maxMemory()),
-                true,
+                BootstrapMode.ALL_MEMBERS,
                 VoterPolicy.EVERY_MEMBER);
     }
 
-    /** The same settings for a member that joins a cluster which other members bootstrap or have bootstrapped. */
-    public ConsensusSettings joining() {
-        return with(false, voterPolicy);
+    /** The same settings with another part in the bootstrap of the log. */
+    public ConsensusSettings withBootstrapMode(BootstrapMode mode) {
+        return with(mode, voterPolicy);
     }
 
     /** The same settings with another number of voters. */
     public ConsensusSettings withVoterPolicy(VoterPolicy policy) {
-        return with(mayBootstrap, policy);
+        return with(bootstrapMode, policy);
     }
 
-    private ConsensusSettings with(boolean newMayBootstrap, VoterPolicy newVoterPolicy) {
+    private ConsensusSettings with(BootstrapMode newBootstrapMode, VoterPolicy newVoterPolicy) {
         return new ConsensusSettings(
                 memberId,
                 clusterId,
@@ -97,7 +98,7 @@
                 heartbeatInterval,
                 snapshotIntervalRecords,
                 budgetBytes,
-                newMayBootstrap,
+                newBootstrapMode,
                 newVoterPolicy);
     }
 }
--- a/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
+++ b/control/src/main/java/org/hornbeamspread/control/routes/RouteDaemon.java
@@ -10,6 +10,7 @@
 import org.hornbeamspread.control.consensus.ConsensusSettings;
 import org.hornbeamspread.control.operations.PublishedState;
 import org.hornbeamspread.control.state.ControlStateMachine;
+import org.hornbeamspread.core.consensus.BootstrapMode;
 import org.hornbeamspread.core.consensus.VoterPolicy;
 import org.hornbeamspread.core.misc.EventLog;
 import org.hornbeamspread.core.route.QuotaBounds;
@@ -54,7 +55,7 @@
      *     relay is in between
      * @param clusterId the id of the log
      * @param initialMembers the members to bootstrap the log with
-     * @param mayBootstrap whether this is the first start of the whole system
+     * @param firstStart whether this is the first start of the whole system, so that every initial member has its first disk
      * @param requiredVoters the number of voters needed to tolerate the losses that the deployment is designed for
      * @param dataDirectory the directory of the log
      * @param quotaBounds how closely the limits of workspaces are kept
@@ -65,7 +66,7 @@
             Endpoint listenEndpoint,
             String clusterId,
             List<ControlMember> initialMembers,
-            boolean mayBootstrap,
+            boolean firstStart,
             int requiredVoters,
             Path dataDirectory,
             QuotaBounds quotaBounds,
@@ -82,9 +83,9 @@
             if (!isInitialMember) {
                 members.add(self);
             }
-            ConsensusSettings settings = ConsensusSettings.of(self.getMemberId(), clusterId, members, dataDirectory)
-                    .withVoterPolicy(VoterPolicy.required(requiredVoters));
-            return mayBootstrap && isInitialMember ? settings : settings.joining();
+            return ConsensusSettings.of(self.getMemberId(), clusterId, members, dataDirectory)
+                    .withVoterPolicy(VoterPolicy.required(requiredVoters))
+                    .withBootstrapMode(firstStart && isInitialMember ? BootstrapMode.MAJORITY : BootstrapMode.NONE);
         }
     }
 
@@ -120,7 +121,7 @@
         ControlMembership membership = new ControlMembership(
                 settings.self(),
                 settings.requiredVoters(),
-                consensusSettings.mayBootstrap(),
+                consensusSettings.bootstrapMode() != BootstrapMode.NONE,
                 log,
                 log::members,
                 settings.seeds(),
--- a/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
+++ b/control/src/test/java/org/hornbeamspread/control/consensus/LogCluster.java
@@ -89,7 +89,7 @@
                 defaults.heartbeatInterval(),
                 snapshotIntervalRecords,
                 budgetBytes,
-                true,
+                defaults.bootstrapMode(),
                 defaults.voterPolicy());
         ControlStateMachine state = new ControlStateMachine();
         ConsensusService log = new ConsensusService(
--- a/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
@@ -93,6 +93,21 @@
         }
     }
 
+    /** The first start waited for every initial member, so that one lost machine kept the whole system from serving. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2})
+    void firstStartSucceedsWithoutOneOfThreeMembers(int lost) {
+        List<ControlMember> initialMembers = List.of(member("n1"), member("n2"), member("n3"));
+        List<ControlMember> started = new ArrayList<>(initialMembers);
+        started.remove(lost);
+        started.forEach(member -> start(member, initialMembers, true));
+
+        for (ControlMember member : started) {
+            assertThat(replaceRoutes(member.getMemberId(), configurationDocument(7, "seven")))
+                    .isEqualTo(7);
+        }
+    }
+
     @Test
     void configurationWithoutAHigherVersionIsAcknowledgedAndIgnored() {
         replaceRoutes("c1", configurationDocument(7, "seven"));
@@ -275,13 +290,13 @@
         }
     }
 
-    private void start(ControlMember self, List<ControlMember> initialMembers, boolean mayBootstrap) {
+    private void start(ControlMember self, List<ControlMember> initialMembers, boolean firstStart) {
         RouteDaemon.Settings settings = new RouteDaemon.Settings(
                 self,
                 self.getPeer(),
                 "test",
                 initialMembers,
-                mayBootstrap,
+                firstStart,
                 3,
                 directory.resolve(self.getMemberId()),
                 QuotaBounds.DEFAULT,
--- a/core/src/main/java/org/hornbeamspread/core/consensus/Bootstrap.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/Bootstrap.java
@@ -19,16 +19,29 @@
  * counted by incarnation. Neither contains a member that lost its disk: it follows as a learner until the log records
  * its new incarnation. There is only one bootstrap member because two members that created the log independently, from
  * stale responses, could count two incarnations of a third member.
+ *
+ * <p>With {@link BootstrapMode#MAJORITY} a member that is lost during the first start does not prevent it. Every member that
+ * responds as blank then has its first disk, so that no initial member is ever counted in two incarnations, and several members
+ * may create the log: any two majorities of the initial members share one with the same disk, as in any election. A
+ * majority therefore suffices after a delay, which is longer for later names so that usually one member creates the log. The
+ * membership has every initial member, so that a majority is one of all of them; those that did not respond have no
+ * incarnation, as if they had lost their disks, and are admitted in the same way.
  */
 final class Bootstrap {
+    /** The delay for each rank by name, in election timeouts: longer than the processes of a deployment take to start. */
+    private static final int MAJORITY_DELAY_TIMEOUTS = 2;
+
     private final NodeState state;
     private final List<String> initialMemberIds;
 
-    /** False for a member that joins a log which other members bootstrap or have bootstrapped. */
-    private final boolean mayBootstrap;
+    private final BootstrapMode mode;
 
+    /** The incarnations of the members whose last response was blank, and of this member. */
     private final Map<String, Long> blankIncarnations = new TreeMap<>();
 
+    /** The time from which on a majority suffices. */
+    private final long majorityFromMs;
+
     /** The members that the log was bootstrapped with; present once they are proven to contain this incarnation. */
     private Optional<Membership> initialMembership;
 
@@ -37,12 +50,15 @@
     Bootstrap(
             NodeState state,
             List<String> initialMemberIds,
-            boolean mayBootstrap,
+            BootstrapMode mode,
             Optional<Membership> initialMembership) {
         this.state = state;
         this.initialMemberIds = initialMemberIds.stream().sorted().toList();
-        this.mayBootstrap = mayBootstrap;
+        this.mode = mode;
         this.initialMembership = initialMembership;
+        int rank = this.initialMemberIds.indexOf(state.selfId);
+        this.majorityFromMs =
+                state.nowMs() + (1 + rank) * MAJORITY_DELAY_TIMEOUTS * state.parameters.electionTimeoutMs();
     }
 
     /** Whether this member has neither voted nor stored a record. */
@@ -74,7 +90,7 @@
             initialMemberIds.stream()
                     .filter(id -> !id.equals(state.selfId))
                     .forEach(id -> state.outbox.emit(new ConsensusEffect.Send(id, request)));
-            bootstrapIfAllBlank();
+            bootstrapIfPossible();
         }
     }
 
@@ -82,7 +98,7 @@
         return new Message.IntroduceResponse(
                 state.selfId,
                 state.incarnation,
-                isBlank(),
+                isBlank() && mode != BootstrapMode.NONE,
                 request.incarnation(),
                 initialMembership.orElse(Membership.NONE));
     }
@@ -95,7 +111,9 @@
             setInitialMembership(response.initialMembership());
         } else if (response.blank()) {
             blankIncarnations.put(response.memberId(), response.incarnation());
-            bootstrapIfAllBlank();
+            bootstrapIfPossible();
+        } else {
+            blankIncarnations.remove(response.memberId());
         }
     }
 
@@ -104,10 +122,17 @@
                 || !state.log.membership().members().isEmpty();
     }
 
-    private void bootstrapIfAllBlank() {
-        boolean isBootstrapMember = mayBootstrap && initialMemberIds.get(0).equals(state.selfId);
+    private void bootstrapIfPossible() {
+        if (mode == BootstrapMode.NONE || !isBlank()) {
+            return;
+        }
         blankIncarnations.put(state.selfId, state.incarnation);
-        if (isBootstrapMember && isBlank() && blankIncarnations.keySet().containsAll(initialMemberIds)) {
+        boolean isBootstrapMember = initialMemberIds.get(0).equals(state.selfId);
+        long blank =
+                initialMemberIds.stream().filter(blankIncarnations::containsKey).count();
+        boolean allBlank = blank == initialMemberIds.size();
+        boolean majoritySuffices = mode == BootstrapMode.MAJORITY && state.nowMs() >= majorityFromMs;
+        if ((isBootstrapMember && allBlank) || (majoritySuffices && 2 * blank > initialMemberIds.size())) {
             bootstrap();
         }
     }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/ConsensusNode.java
@@ -48,38 +48,30 @@
     /**
      * Creates a member with all rules enabled.
      *
-     * @param mayBootstrap false for a member that joins a log which other members bootstrap or have bootstrapped
+     * @param mode how this member takes part in the bootstrap of the log
      */
     public ConsensusNode(
             String memberId,
             List<String> initialMemberIds,
-            boolean mayBootstrap,
+            BootstrapMode mode,
             StoredState stored,
             ConsensusParameters parameters,
             Clock clock,
             RandomGenerator random) {
-        this(
-                memberId,
-                initialMemberIds,
-                mayBootstrap,
-                stored,
-                parameters,
-                clock,
-                random,
-                EnumSet.allOf(ConsensusRule.class));
+        this(memberId, initialMemberIds, mode, stored, parameters, clock, random, EnumSet.allOf(ConsensusRule.class));
     }
 
     ConsensusNode(
             String memberId,
             List<String> initialMemberIds,
-            boolean mayBootstrap,
+            BootstrapMode mode,
             StoredState stored,
             ConsensusParameters parameters,
             Clock clock,
             RandomGenerator random,
             Set<ConsensusRule> rules) {
         this.state = new NodeState(memberId, stored, parameters, rules, clock);
-        this.bootstrap = new Bootstrap(state, initialMemberIds, mayBootstrap, stored.initialMembership());
+        this.bootstrap = new Bootstrap(state, initialMemberIds, mode, stored.initialMembership());
         this.election = new Election(state, random);
         this.lastLeaderContactMs = stored.term() > 0
                 ? state.nowMs() + parameters.firstElectionDelayMs() - parameters.electionTimeoutMs()
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.hornbeamspread.core.misc.ManualClock;
 
 /**
@@ -28,6 +30,10 @@
     final Set<String> isolated = new HashSet<>();
     private final Set<ConsensusRule> rules;
     private final ConsensusParameters parameters;
+
+    /** How the initial members bootstrap; with MAJORITY a process that is started again joins. */
+    private final BootstrapMode firstStartMode;
+
     private final List<String> initialIds;
     private final Map<Long, String> requesterByReplyId = new HashMap<>();
     private final Map<Long, Long> committedAtReadStart = new HashMap<>();
@@ -41,6 +47,26 @@
     }
 
     LogHarness(int members, long seed, Set<ConsensusRule> rules, ConsensusParameters parameters) {
+        this(members, seed, rules, parameters, BootstrapMode.ALL_MEMBERS);
+    }
+
+    /** A deployment that starts for the first time, as {@link BootstrapMode#MAJORITY} requires. */
+    static LogHarness firstStart(int members, long seed) {
+        return new LogHarness(
+                members,
+                seed,
+                EnumSet.allOf(ConsensusRule.class),
+                parameters(seed % 2 == 1 ? 1 : 1 << 16),
+                BootstrapMode.MAJORITY);
+    }
+
+    private LogHarness(
+            int members,
+            long seed,
+            Set<ConsensusRule> rules,
+            ConsensusParameters parameters,
+            BootstrapMode firstStartMode) {
+        this.firstStartMode = firstStartMode;
         this.random = new SplittableRandom(seed);
         this.rules = rules;
         this.parameters = parameters;
@@ -92,11 +118,16 @@
 
     /** One round in which the clock advances, every message in flight is delivered and every persist is synced. */
     void runFaultFreeRound() {
+        runRound(packet -> true);
+    }
+
+    /** The same, with the messages lost that the predicate rejects. */
+    void runRound(Predicate<Packet> isDelivered) {
         clock.advance(Duration.ofMillis(5));
         hosts.values().forEach(Host::tick);
         List<Packet> packets = List.copyOf(packetsInFlight);
         packetsInFlight.clear();
-        packets.forEach(this::deliver);
+        packets.stream().filter(isDelivered).forEach(this::deliver);
         hosts.values().forEach(host -> host.sync(host.unsyncedPersists.size()));
     }
 
@@ -150,6 +181,22 @@
                 .orElse(false);
     }
 
+    /** Whether a majority of the voters of the committed membership has the disk that the membership counts. */
+    boolean hasCurrentMajority() {
+        return checker.committedMembership()
+                .filter(members -> members.isMajority(
+                        voter -> hosts.get(voter.memberId()).disk.incarnation() == voter.incarnation()))
+                .isPresent();
+    }
+
+    /** The number of different memberships that members have bootstrapped the log with, as far as their disks hold them. */
+    long countInitialMemberships() {
+        return hosts.values().stream()
+                .flatMap(host -> host.disk.stored().initialMembership().stream())
+                .distinct()
+                .count();
+    }
+
     private boolean isReachable(String id) {
         return !isolated.contains(id);
     }
@@ -162,6 +209,7 @@
         final String id;
         DiskModel disk;
         ConsensusNode node;
+        int startCount;
         boolean up;
         boolean leads;
         boolean ready;
@@ -179,7 +227,10 @@
             if (up) {
                 return;
             }
-            node = new ConsensusNode(id, initialIds, true, disk.stored(), parameters, clock, random.split(), rules);
+            BootstrapMode mode =
+                    firstStartMode == BootstrapMode.MAJORITY && startCount > 0 ? BootstrapMode.NONE : firstStartMode;
+            node = new ConsensusNode(id, initialIds, mode, disk.stored(), parameters, clock, random.split(), rules);
+            startCount++;
             up = true;
             Snapshot snapshot = disk.stored().snapshot();
             applied = 0;
