--- a/core/src/main/java/org/hornbeamspread/core/consensus/Bootstrap.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/Bootstrap.java
@@ -29,7 +29,7 @@
  */
 final class Bootstrap {
     /** The delay for each rank by name, in election timeouts: longer than the processes of a deployment take to start. */
-    private static final int MAJORITY_DELAY_TIMEOUTS = 2;
+    private static final long MAJORITY_DELAY_TIMEOUTS = 2;
 
     private final NodeState state;
     private final List<String> initialMemberIds;
