A process that starts again before the log exists goes on with the first start

The initial members are now kept on the disk, written before the identity, and a process that finds them there takes part as before: its disk is still the first one, and the list is that of the first start, whatever seeds its settings name by then.

FirstStartTest#logIsBootstrappedAlthoughSeveralMembersRestart and the random histories (restarts keep the first disk), RouteDaemonTest #firstStartSucceedsAlthoughEveryMemberRestartsBeforeTheyMeet, DiskLogTest: green.

--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusService.java
@@ -19,6 +19,7 @@
 import org.hornbeamspread.control.storage.DiskLog;
 import org.hornbeamspread.control.storage.RecordCodec;
 import org.hornbeamspread.control.storage.WriteInterceptor;
+import org.hornbeamspread.core.consensus.BootstrapMode;
 import org.hornbeamspread.core.consensus.ConsensusEvent;
 import org.hornbeamspread.core.consensus.Message;
 import org.hornbeamspread.core.consensus.StoredState;
@@ -78,8 +79,14 @@
         this.metrics = new ConsensusMetrics(registry);
         this.directory = new MemberDirectory(settings.members());
         DiskLog diskLog = DiskLog.open(
-                settings.dataDirectory(), settings.memberId(), settings.clusterId(), incarnation, interceptor);
+                settings.dataDirectory(),
+                settings.memberId(),
+                settings.clusterId(),
+                incarnation,
+                settings.bootstrapMode() == BootstrapMode.MAJORITY ? settings.members() : List.of(),
+                interceptor);
         try {
+            directory.update(diskLog.firstStartMembers());
             directory.update(diskLog.snapshotMembers());
             StoredState stored = diskLog.takeStoredState();
             stored.records().forEach(record -> updateDirectory(RecordCodec.wire(record)));
@@ -90,7 +97,15 @@
             ElectionTracker elections =
                     new ElectionTracker(settings.memberId(), clock, events, metrics, tracker::describe);
             this.loop = new ConsensusLoop(
-                    settings, stateMachine, clock, stored, diskWriter, directory, connections, metrics, elections);
+                    settings.resumingFirstStart(diskLog.firstStartMembers()),
+                    stateMachine,
+                    clock,
+                    stored,
+                    diskWriter,
+                    directory,
+                    connections,
+                    metrics,
+                    elections);
         } catch (RuntimeException e) {
             diskLog.close();
             throw e;
--- a/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
+++ b/control/src/main/java/org/hornbeamspread/control/consensus/ConsensusSettings.java
@@ -80,19 +80,30 @@
 
     /** The same settings with another part in the bootstrap of the log. */
     public ConsensusSettings withBootstrapMode(BootstrapMode mode) {
-        return with(mode, voterPolicy);
+        return with(members, mode, voterPolicy);
+    }
+
+    /**
+     * The settings of a process that starts again on the disk of a first start: it goes on to take part in the bootstrap, with the
+     * initial members of that start.
+     *
+     * @param firstStartMembers the initial members on the disk; none if the disk is not that of a first start
+     */
+    ConsensusSettings resumingFirstStart(List<ControlMember> firstStartMembers) {
+        return firstStartMembers.isEmpty() ? this : with(firstStartMembers, BootstrapMode.MAJORITY, voterPolicy);
     }
 
     /** The same settings with another number of voters. */
     public ConsensusSettings withVoterPolicy(VoterPolicy policy) {
-        return with(bootstrapMode, policy);
+        return with(members, bootstrapMode, policy);
     }
 
-    private ConsensusSettings with(BootstrapMode newBootstrapMode, VoterPolicy newVoterPolicy) {
+    private ConsensusSettings with(
+            List<ControlMember> newMembers, BootstrapMode newBootstrapMode, VoterPolicy newVoterPolicy) {
         return new ConsensusSettings(
                 memberId,
                 clusterId,
-                members,
+                newMembers,
                 dataDirectory,
                 electionTimeout,
                 heartbeatInterval,
--- a/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
+++ b/control/src/main/java/org/hornbeamspread/control/storage/DiskLog.java
@@ -26,13 +26,15 @@
 
 /**
  * The data directory of a control member. It holds the files {@code identity} (cluster, member and incarnation that own
- * the directory), {@code formed} (the initial membership), {@code vote}, {@code snapshot} and {@code log}. Each file
- * has checksums; the first four are replaced atomically. The identity is written last when the directory is created, so
- * a directory with an identity but without a log has lost its log. Used by a single thread after it is opened.
+ * the directory), {@code formed} (the initial membership), {@code vote}, {@code snapshot} and {@code log}, and
+ * {@code first-start} (the initial members) if it was created at the first start of a deployment. Each file has checksums;
+ * all but the log are replaced atomically. The identity is written last when the directory is created, so a directory with
+ * an identity but without a log has lost its log. Used by a single thread after it is opened.
  */
 public final class DiskLog implements AutoCloseable {
     private static final String IDENTITY = "identity";
     private static final String INITIAL_MEMBERSHIP = "formed";
+    private static final String FIRST_START = "first-start";
     private static final String VOTE = "vote";
     private static final String SNAPSHOT = "snapshot";
     private static final String LOG = "log";
@@ -44,18 +46,25 @@
     private final ChecksummedFiles files;
     private final FileChannel lock;
     private final List<ControlMember> snapshotMembers;
+    private final List<ControlMember> firstStartMembers;
 
     /** The content when the directory was opened; empty once it was taken, so that its records can be discarded. */
     private Optional<StoredState> storedState;
 
     private FileChannel log;
 
-    private DiskLog(ChecksummedFiles files, FileChannel lock, StoredState stored, List<ControlMember> snapshotMembers)
+    private DiskLog(
+            ChecksummedFiles files,
+            FileChannel lock,
+            StoredState stored,
+            List<ControlMember> snapshotMembers,
+            List<ControlMember> firstStartMembers)
             throws IOException {
         this.files = files;
         this.lock = lock;
         this.storedState = Optional.of(stored);
         this.snapshotMembers = snapshotMembers;
+        this.firstStartMembers = firstStartMembers;
         this.log = openLog();
     }
 
@@ -64,14 +73,22 @@
      * belongs to another member or is in use, and with LOG_CORRUPTED, DISK_FULL or DISK_FAILED.
      *
      * @param newIncarnation the incarnation of this member if the directory is empty
+     * @param firstStartMembers the initial members, which are stored if the directory is empty; none if this is not the
+     *     first start of a deployment
      */
     public static DiskLog open(
-            Path directory, String memberId, String clusterId, long newIncarnation, WriteInterceptor interceptor) {
+            Path directory,
+            String memberId,
+            String clusterId,
+            long newIncarnation,
+            List<ControlMember> firstStartMembers,
+            WriteInterceptor interceptor) {
         try {
             Files.createDirectories(directory);
             FileChannel lock = lock(directory.resolve(LOCK));
             try {
-                return open(new ChecksummedFiles(directory, interceptor), lock, memberId, clusterId, newIncarnation);
+                ChecksummedFiles files = new ChecksummedFiles(directory, interceptor);
+                return open(files, lock, memberId, clusterId, newIncarnation, firstStartMembers);
             } catch (IOException | RuntimeException e) {
                 lock.close();
                 throw e;
@@ -93,6 +110,11 @@
         return snapshotMembers;
     }
 
+    /** The initial members with their endpoints if the directory was created at the first start of a deployment, else none. */
+    public List<ControlMember> firstStartMembers() {
+        return firstStartMembers;
+    }
+
     /**
      * Writes and syncs a batch. Fails with DISK_FULL, after which the same call may be repeated, or with DISK_FAILED,
      * after which this member must neither write nor acknowledge anything.
@@ -136,18 +158,36 @@
     }
 
     private static DiskLog open(
-            ChecksummedFiles files, FileChannel lock, String memberId, String clusterId, long newIncarnation)
+            ChecksummedFiles files,
+            FileChannel lock,
+            String memberId,
+            String clusterId,
+            long newIncarnation,
+            List<ControlMember> firstStartMembers)
             throws IOException {
         Optional<byte[]> identity = files.read(IDENTITY);
         long incarnation = newIncarnation;
         if (identity.isPresent()) {
             incarnation = checkIdentity(files, identity.get(), memberId, clusterId);
         } else {
+            if (!firstStartMembers.isEmpty()) {
+                ChangeMembers members = ChangeMembers.newBuilder()
+                        .addAllMembers(firstStartMembers)
+                        .build();
+                files.replace(FIRST_START, List.of(members.toByteArray()));
+            }
             create(files, memberId, clusterId, newIncarnation);
         }
         InstallSnapshot snapshot =
                 InstallSnapshot.parseFrom(files.read(SNAPSHOT).orElse(new byte[0]));
-        return new DiskLog(files, lock, load(files, incarnation, snapshot), snapshot.getMembersList());
+        ChangeMembers storedMembers =
+                ChangeMembers.parseFrom(files.read(FIRST_START).orElse(new byte[0]));
+        return new DiskLog(
+                files,
+                lock,
+                load(files, incarnation, snapshot),
+                snapshot.getMembersList(),
+                storedMembers.getMembersList());
     }
 
     private static StoredState load(ChecksummedFiles files, long incarnation, InstallSnapshot wire) throws IOException {
--- a/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/routes/RouteDaemonTest.java
@@ -108,6 +108,19 @@
         }
     }
 
+    /** A process that starts again on its disk isn't told of a first start any more, and all of them waited for another to create the log. */
+    @Test
+    void firstStartSucceedsAlthoughEveryMemberRestartsBeforeTheyMeet() {
+        List<ControlMember> initialMembers = List.of(member("n1"), member("n2"), member("n3"));
+        for (ControlMember member : initialMembers) {
+            start(member, initialMembers, true);
+            daemons.remove(member.getMemberId()).close();
+        }
+        initialMembers.forEach(member -> start(member, initialMembers, false));
+
+        assertThat(replaceRoutes("n2", configurationDocument(7, "seven"))).isEqualTo(7);
+    }
+
     @Test
     void configurationWithoutAHigherVersionIsAcknowledgedAndIgnored() {
         replaceRoutes("c1", configurationDocument(7, "seven"));
--- a/control/src/test/java/org/hornbeamspread/control/storage/DiskLogTest.java
+++ b/control/src/test/java/org/hornbeamspread/control/storage/DiskLogTest.java
@@ -23,6 +23,7 @@
 import org.hornbeamspread.core.misc.FailureException;
 import org.hornbeamspread.core.misc.FailureType;
 import org.hornbeamspread.protocol.schema.ControlCommand;
+import org.hornbeamspread.protocol.schema.ControlMember;
 import org.hornbeamspread.protocol.schema.RouteConfigurationDocument;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -128,7 +129,7 @@
         for (long index = 1; index <= 8; index++) {
             records.add(new LogRecord(index, 1, largePayload(index), Optional.empty()));
         }
-        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, bytes -> {
+        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, List.of(), bytes -> {
             if (bytes > 100_000 && writes.incrementAndGet() == 3) {
                 throw new IOException("No space left on device");
             }
@@ -226,7 +227,8 @@
     void aDirectoryOfAnotherMemberOrClusterIsRefused(String memberId, String clusterId) {
         open().close();
         FailureException failure = assertThrows(
-                FailureException.class, () -> DiskLog.open(directory, memberId, clusterId, 6, WriteInterceptor.NONE));
+                FailureException.class,
+                () -> DiskLog.open(directory, memberId, clusterId, 6, List.of(), WriteInterceptor.NONE));
         assertThat(failure.type()).isEqualTo(FailureType.INVALID_SETTING);
     }
 
@@ -246,7 +248,7 @@
                 throw new IOException("No space left on device");
             }
         };
-        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, interceptor)) {
+        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, List.of(), interceptor)) {
             persist(log, Optional.empty(), records(1, 2, 1));
             Snapshot snapshot = new Snapshot(2, 1, MEMBERS, Payload.EMPTY);
             Optional<ConsensusEffect.Rewrite> rewrite = withSnapshot
@@ -265,7 +267,7 @@
     }
 
     private DiskLog open() {
-        return DiskLog.open(directory, "c1", "test", 5, WriteInterceptor.NONE);
+        return DiskLog.open(directory, "c1", "test", 5, List.of(), WriteInterceptor.NONE);
     }
 
     private StoredState reopenedState() {
@@ -305,4 +307,28 @@
         }
         return records;
     }
+
+    /** The initial members stay those of the first start, whatever later settings name. */
+    @Test
+    void initialMembersOfTheFirstStartAreKept() {
+        List<ControlMember> initialMembers =
+                List.of(ControlMember.newBuilder().setMemberId("c1").build());
+        DiskLog.open(directory, "c1", "test", 5, initialMembers, WriteInterceptor.NONE)
+                .close();
+
+        try (DiskLog log = open()) {
+            assertThat(log.firstStartMembers()).isEqualTo(initialMembers);
+        }
+    }
+
+    @Test
+    void directoryThatIsCreatedLaterHasNoInitialMembers() {
+        open().close();
+        List<ControlMember> laterMembers =
+                List.of(ControlMember.newBuilder().setMemberId("c1").build());
+
+        try (DiskLog log = DiskLog.open(directory, "c1", "test", 5, laterMembers, WriteInterceptor.NONE)) {
+            assertThat(log.firstStartMembers()).isEmpty();
+        }
+    }
 }
--- a/core/src/main/java/org/hornbeamspread/core/consensus/BootstrapMode.java
+++ b/core/src/main/java/org/hornbeamspread/core/consensus/BootstrapMode.java
@@ -7,7 +7,8 @@
 
     /**
      * The log is bootstrapped by a majority of the initial members if the others don't respond. Requires that this member has the
-     * first disk that it ever had: one that lost its disk must use {@link #NONE}.
+     * first disk that it ever had, and that all initial members have the same list of them: one that lost its disk must use
+     * {@link #NONE}.
      */
     MAJORITY,
 
--- a/core/src/test/java/org/hornbeamspread/core/consensus/FirstStartTest.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/FirstStartTest.java
@@ -35,7 +35,26 @@
         }
     }
 
-    /** A process that is started again does not bootstrap; it is admitted by those that do. */
+    /** All processes of the core may be killed at the same moment and be back soon, with their disks. */
+    @ParameterizedTest
+    @CsvSource({"3, 2", "3, 3", "5, 3", "5, 5"})
+    void logIsBootstrappedAlthoughSeveralMembersRestart(int members, int restarted) {
+        for (long faultAtMs = 0; faultAtMs <= LAST_FAULT_MS; faultAtMs += 5) {
+            for (int first = 1; first <= members; first++) {
+                LogHarness harness = LogHarness.firstStart(members, faultAtMs + first);
+                harness.runFor(Duration.ofMillis(faultAtMs));
+                for (int i = 0; i < restarted; i++) {
+                    harness.host("c" + (1 + (first + i) % members)).crash();
+                }
+                harness.runFor(Duration.ofMillis(LogHarness.ELECTION_TIMEOUT_MS));
+                harness.healAll();
+                harness.runFor(RETURN_TIME);
+                assertThatAChangeIsCommitted(harness);
+            }
+        }
+    }
+
+    /** A member without its disk does not bootstrap; it is admitted by those that do. */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3})
     void logIsBootstrappedAlthoughAMemberRestartsOrLosesItsDisk(int rank) {
--- a/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
+++ b/core/src/test/java/org/hornbeamspread/core/consensus/LogHarness.java
@@ -31,7 +31,7 @@
     private final Set<ConsensusRule> rules;
     private final ConsensusParameters parameters;
 
-    /** How the initial members bootstrap; with MAJORITY a process that is started again joins. */
+    /** How the initial members bootstrap; with MAJORITY a member that lost its disk joins. */
     private final BootstrapMode firstStartMode;
 
     private final List<String> initialIds;
@@ -209,7 +209,7 @@
         final String id;
         DiskModel disk;
         ConsensusNode node;
-        int startCount;
+        boolean firstDisk;
         boolean up;
         boolean leads;
         boolean ready;
@@ -220,6 +220,7 @@
 
         Host(String id) {
             this.id = id;
+            this.firstDisk = initialIds.contains(id);
             this.disk = new DiskModel(nextId++);
         }
 
@@ -228,9 +229,8 @@
                 return;
             }
             BootstrapMode mode =
-                    firstStartMode == BootstrapMode.MAJORITY && startCount > 0 ? BootstrapMode.NONE : firstStartMode;
+                    firstStartMode == BootstrapMode.MAJORITY && !firstDisk ? BootstrapMode.NONE : firstStartMode;
             node = new ConsensusNode(id, initialIds, mode, disk.stored(), parameters, clock, random.split(), rules);
-            startCount++;
             up = true;
             Snapshot snapshot = disk.stored().snapshot();
             applied = 0;
@@ -255,6 +255,7 @@
         void loseDisk() {
             crash();
             disk = new DiskModel(nextId++);
+            firstDisk = false;
             lostDiskCount++;
         }
 
